--- /dev/null
+++ b/src/main/java/lupinwood/Brain.java
@@ -0,0 +1,738 @@
+package lupinwood;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import lupinwood.node.Effect;
+import lupinwood.node.Gauges;
+import lupinwood.node.Handle;
+import lupinwood.node.Histogram;
+import lupinwood.node.Moment;
+import lupinwood.node.Node;
+import lupinwood.node.Outcome;
+import lupinwood.node.Server;
+import lupinwood.node.Span;
+import lupinwood.node.Ticket;
+import lupinwood.node.TicketId;
+
+/**
+ * All decisions of one node: what it takes, runs, bounces and fails. The interface is package lupinwood.node.
+ * A Brain is made for one life of one machine, from its settings. News comes in by take, leave, wake and the
+ * calls on the handles that take returns; settle closes each moment. Results leave through Server. Everything
+ * due later stands in one queue of alarms, with one wake-up asked for at a time.
+ * Order of reading: take (what is checked on arrival), Held (what happens to a ticket), settle (what is
+ * turned away, run and called), then the limit, the guards and the advice.
+ */
+public final class Brain implements Node {
+    /** How many figures a histogram takes in before it is halved. */
+    private static final double MEMORY_OF = 32;
+    /** No median is trusted before this many figures. */
+    private static final double ENOUGH = 6;
+    /** The part of a hard ceiling (memory, crowd) that is used; the rest is for what comes between two batches. */
+    private static final double SAFE = 0.85;
+    /** Tickets wanting a core for each core: enough to keep all busy, too few to make each slow. */
+    private static final double BUSY = 1.3;
+    /** The part of its time to the agreed time that a new arrival may be reckoned to need. */
+    private static final double ROOMY = 0.85;
+    /** Before anything was measured, a ticket is held to cost this part of its agreed time. */
+    private static final double FIRST_GUESS = 0.1;
+
+    private enum State { HELD, RUNNING, WAITS_TO_CALL, CALLING, REUSING, OVER }
+
+    /** What the settings say of a track, and what was measured of it. */
+    private static final class TrackBook {
+        boolean calls;
+        Effect effect;
+        Span agreed;
+        double stretch;
+        Span abandon;
+        Span window;
+        double credit;
+        double lateValue;
+        double skipWorth;
+        double firstCost;
+        final Histogram cost = new Histogram(MEMORY_OF);
+        final Histogram calmCalls = new Histogram(MEMORY_OF);
+        /** How many tickets came to their first, second, ... call, and how many ended one; halved with time. */
+        final double[] reached = new double[8];
+        final double[] endedAt = new double[8];
+    }
+
+    private record Alarm(Moment at, long order, Runnable job) {}
+
+    private final Server server;
+    private final Map<String, String> settings;
+    private final Map<String, Double> numbers = new HashMap<>();
+    private final List<TrackBook> tracks = new ArrayList<>();
+    private final double cores;
+    private final double memory;
+    private final double entryKb;
+    private final Moment born;
+    private final Span step;
+    private final boolean sharedBelow;
+    private final boolean canStop;
+    private final boolean stopKeeps;
+    private final PriorityQueue<Alarm> alarms =
+            new PriorityQueue<>(Comparator.comparing(Alarm::at).thenComparing(Alarm::order));
+    private long order;
+    private Moment armed = Moment.NEVER;
+
+    /** Held and not run, the soonest agreed time first. */
+    private final TreeSet<Held> hold = new TreeSet<>(Held.BY_TIME);
+    private final TreeSet<Held> waitsToCall = new TreeSet<>(Held.BY_TIME);
+    private final Map<TicketId, Held> remembered = new HashMap<>();
+    /** All that is owed an answer or still takes memory, by arrival. */
+    private final TreeMap<Long, Held> open = new TreeMap<>();
+    private int onCores;
+    private int callsInHand;
+    private int count;
+    private double usedKb;
+
+    private double limit;
+    private Moment leftAt = Moment.NEVER;
+    private Moment stopsAt = Moment.NEVER;
+
+    /** Core time given to each running ticket since the start, in seconds: the clock by which cost is measured. */
+    private double given;
+    private Moment givenAt;
+    /** How many of those that run really want a core (the rest wait for a disk). */
+    private double wanting = 1;
+    private final Histogram pace = new Histogram(MEMORY_OF);
+    private double advised = -1;
+    private double refusedWork;
+    private double takenWork;
+
+    public Brain(Server server, long seed, Map<String, String> settings) {
+        this.server = server;
+        this.settings = settings;
+        born = server.now();
+        givenAt = born;
+        step = span("step_ns");
+        cores = Math.max(1, number("domain.cpus", 1));
+        memory = number("domain.memory_kb", 1e12);
+        entryKb = number("domain.entry_kb", 0);
+        sharedBelow = text("domain.below").equals("one_for_all");
+        canStop = !text("domain.stop_mode").equals("off") && !text("domain.stop_mode").isEmpty();
+        stopKeeps = text("domain.stop_mode").equals("freeze");
+        limit = Math.max(20, cores);
+        for (int i = 0; i < number("services.count", 0); i++) {
+            tracks.add(track(i));
+        }
+        server.health(true, true);
+        beat();
+    }
+
+    private TrackBook track(int i) {
+        String at = "services." + i + ".";
+        TrackBook track = new TrackBook();
+        track.calls = listed("domain.class_calls", i).equals("true") && !text("domain.below").equals("off");
+        track.effect = switch (text(at + "effect")) {
+            case "pure" -> Effect.PURE;
+            case "token" -> Effect.RECEIPTED;
+            default -> Effect.EFFECTFUL;
+        };
+        track.agreed = span(at + "aim_ns");
+        track.stretch = number(at + "aim_stretch", 0);
+        track.abandon = span(at + "give_up_ns");
+        track.window = span(at + "window_ns");
+        track.credit = number(at + "worth", 1);
+        track.lateValue = number(at + "late_value", 0);
+        String skip = listed("domain.class_skip_worth", i);
+        track.skipWorth = skip.isEmpty() ? 0 : Double.parseDouble(skip);
+        track.firstCost = track.agreed.seconds() * FIRST_GUESS;
+        return track;
+    }
+
+    // ---- arrival ----
+
+    @Override
+    public Handle take(Ticket ticket) {
+        Held held = new Held(ticket);
+        open.put(held.number, held);
+        usedKb += held.memoryKb;
+        Held original = ticket.original() == null ? null : remembered.get(ticket.original());
+        if (held.track.effect == Effect.RECEIPTED && ticket.original() != null
+                && (original == null || original.ran || original.state != State.OVER)) {
+            // Rule 2: some try of this ticket ran here, or may yet; it is never run again.
+            if (original != null && !original.failed) {
+                held.state = State.REUSING;
+                server.reuse(ticket.id());
+            } else {
+                held.fail();
+            }
+        } else if (leavingFor(held)) {
+            held.bounce(retryAfterMost());
+        } else if (usedKb + entryKb > memory * SAFE) {
+            // Rule 4: a receipted ticket that could not be remembered is turned away like any other.
+            held.bounce(Span.ofSeconds(meanCost()));
+        } else if (held.track.calls && count >= Math.floor(limit)) {
+            held.bounce(Span.ofSeconds(meanCost()));
+        } else {
+            if (held.track.effect == Effect.RECEIPTED) {
+                held.remember();
+            }
+            held.countIn();
+            hold.add(held);
+            takenWork += held.cost();
+        }
+        if (held.state != State.OVER) {
+            at(held.lastAnswer, held::mustEnd);
+        }
+        return held;
+    }
+
+    /** Rule 3: nothing that came over the grace after the notice is run; half the grace is kept as a margin. */
+    private boolean leavingFor(Held held) {
+        return leftAt != Moment.NEVER
+                && (!held.reached.isBefore(leftAt.plus(span("rules.drain_grace_ns").times(0.5)))
+                        || !server.now().isBefore(lastCall()));
+    }
+
+    // ---- a ticket and its life ----
+
+    private final class Held implements Handle {
+        static final Comparator<Held> BY_TIME =
+                Comparator.<Held, Moment>comparing(h -> h.due).thenComparing(h -> h.number);
+
+        final Ticket ticket;
+        final TrackBook track;
+        final long number;
+        final Moment reached;
+        /** The agreed time, or the last moment that earns anything where late answers don't. */
+        final Moment due;
+        final Moment lastAnswer;
+        final double memoryKb;
+        State state = State.HELD;
+        boolean ran;
+        boolean answered;
+        boolean failed;
+        boolean counted;
+        boolean heavy;
+        boolean cut;
+        double startedAt;
+        double got;
+        int calls;
+        int callNumber;
+        int triesOfCall;
+        boolean calmCall;
+
+        Held(Ticket ticket) {
+            this.ticket = ticket;
+            track = tracks.get(ticket.track().number());
+            number = order++;
+            reached = server.now().minus(ticket.waited());
+            Span agreed = track.agreed.plus(ticket.work().times(track.stretch));
+            boolean told = ticket.patience().isPositive();
+            Moment callerGone = told ? server.now().plus(ticket.patience()) : reached.plus(track.abandon);
+            lastAnswer = callerGone.minus(step.plus(step));
+            Moment agreedAt = reached.plus(agreed);
+            due = agreedAt.isBefore(lastAnswer) ? agreedAt : lastAnswer;
+            memoryKb = ticket.memoryKb();
+        }
+
+        double cost() {
+            double hint = ticket.work().seconds();
+            if (hint > 0) {
+                return hint * (pace.weight() >= ENOUGH ? pace.mean() : 1 / speedNow());
+            }
+            return track.cost.weight() >= ENOUGH ? track.cost.mean() : track.firstCost / speedNow();
+        }
+
+        double worth() {
+            return track.credit / cost();
+        }
+
+        Moment useless() {
+            return track.lateValue > 0 ? lastAnswer : due;
+        }
+
+        void remember() {
+            Span left = reached.plus(track.window).since(server.now());
+            if (left.isPositive()) {
+                usedKb += entryKb;
+                remembered.put(ticket.id(), this);
+                server.remember(ticket.id(), left.plus(step));
+                at(server.now().plus(left).plus(step).plus(step), this::unremember);
+            }
+        }
+
+        void unremember() {
+            if (remembered.remove(ticket.id(), this)) {
+                usedKb -= entryKb;
+            }
+        }
+
+        void countIn() {
+            if (track.calls && !counted) {
+                counted = true;
+                count++;
+            }
+        }
+
+        void countOut() {
+            if (counted) {
+                counted = false;
+                count--;
+            }
+        }
+
+        void run() {
+            advanceGiven();
+            hold.remove(this);
+            state = State.RUNNING;
+            ran = true;
+            heavy = true;
+            usedKb += memoryKb * (number("domain.run_mem_factor", 1) - 1);
+            startedAt = given;
+            onCores++;
+            server.run(ticket.id());
+        }
+
+        void leaveCores() {
+            if (state == State.RUNNING) {
+                advanceGiven();
+                got += given - startedAt;
+                onCores--;
+            }
+        }
+
+        void bounce(Span comeBackAfter) {
+            if (ran) {
+                fail();
+                return;
+            }
+            server.bounce(ticket.id(), false, comeBackAfter.min(retryAfterMost()));
+            refusedWork += cost();
+            answered = true;
+            if (remembered.get(ticket.id()) == this) {
+                unremember();
+                server.forget(ticket.id());
+            }
+            over();
+        }
+
+        void fail() {
+            if (answered) {
+                return;
+            }
+            answered = true;
+            failed = true;
+            server.fail(ticket.id());
+            if (state == State.CALLING) {
+                callGivenUp();
+            } else if (state == State.RUNNING) {
+                if (canStop) {
+                    server.stop(ticket.id());
+                }
+            } else {
+                over();
+            }
+        }
+
+        /** Rule 1: whatever is under way, the answer goes out before the caller leaves. */
+        void mustEnd() {
+            if (state != State.OVER && !answered) {
+                if (ran || state == State.REUSING) {
+                    fail();
+                } else {
+                    bounce(Span.ZERO);
+                }
+            }
+        }
+
+        void over() {
+            if (state == State.OVER) {
+                return;
+            }
+            leaveCores();
+            hold.remove(this);
+            waitsToCall.remove(this);
+            state = State.OVER;
+            open.remove(number);
+            usedKb -= memoryKb * (heavy ? number("domain.run_mem_factor", 1) : 1);
+            countOut();
+            server.over(ticket.id());
+        }
+
+        @Override
+        public boolean isOver() {
+            return state == State.OVER;
+        }
+
+        @Override
+        public void ended(Outcome outcome, Span took) {
+            boolean wasRunning = state == State.RUNNING;
+            if (state == State.CALLING) {
+                callGivenUp();
+            }
+            leaveCores();
+            if (wasRunning) {
+                state = State.WAITS_TO_CALL;
+            }
+            if (outcome == Outcome.OK && wasRunning) {
+                track.cost.add(got);
+                if (ticket.work().isPositive()) {
+                    pace.add(got / ticket.work().seconds());
+                }
+            }
+            failed |= outcome != Outcome.OK;
+            answered = true;
+            over();
+        }
+
+        @Override
+        public void needsCall() {
+            leaveCores();
+            state = State.WAITS_TO_CALL;
+            countIn();
+            track.reached[Math.min(calls, 7)]++;
+            waitsToCall.add(this);
+        }
+
+        void makeCall() {
+            waitsToCall.remove(this);
+            state = State.CALLING;
+            callNumber++;
+            calmCall = count * 2 < limit;
+            callsInHand++;
+            Span left = useless().since(server.now());
+            server.call(ticket.id(), left);
+            int thisCall = callNumber;
+            Span target = target(track);
+            if (target != null && target.compareTo(left) < 0) {
+                at(server.now().plus(target), () -> {
+                    if (state == State.CALLING && callNumber == thisCall) {
+                        cut();
+                    }
+                });
+            }
+            cut = false;
+        }
+
+        /** The limit comes down once for each call: past TARGET while it is out, or when it ends as a drop. */
+        void cut() {
+            if (!cut && target(track) != null) {
+                cut = true;
+                limit = Math.max(Math.max(5, cores), limit * 0.9);
+            }
+        }
+
+        @Override
+        public void callEnded(Outcome outcome, Span took) {
+            if (state != State.CALLING) {
+                return;
+            }
+            if (outcome == Outcome.OK) {
+                callsInHand--;
+                Span target = target(track);
+                if (target == null || took.compareTo(target) <= 0) {
+                    if (count * 2 >= limit) {
+                        limit = Math.min(200, limit + 1);
+                    }
+                    if (calmCall) {
+                        track.calmCalls.add(took.seconds());
+                    }
+                } else {
+                    cut();
+                }
+                track.endedAt[Math.min(calls, 7)]++;
+                calls++;
+                triesOfCall = 0;
+                if (!anotherCallLikely()) {
+                    countOut();
+                }
+                advanceGiven();
+                state = State.RUNNING;
+                startedAt = given;
+                onCores++;
+                return;
+            }
+            cut();
+            state = State.WAITS_TO_CALL;
+            if (outcome == Outcome.TIMED_OUT) {
+                lingers();
+                fail();
+                return;
+            }
+            callsInHand--;
+            triesOfCall++;
+            boolean mayRepeat = track.effect == Effect.PURE || outcome.provesNeverRan();
+            if (mayRepeat && triesOfCall < 3) {
+                at(server.now().plus(Span.ofSeconds(meanCost() * triesOfCall)), () -> {
+                    if (state == State.WAITS_TO_CALL && !answered) {
+                        waitsToCall.add(this);
+                    }
+                });
+            } else if (track.skipWorth > 0) {
+                skipCall();
+            } else {
+                fail();
+            }
+        }
+
+        void skipCall() {
+            waitsToCall.remove(this);
+            server.skipCall(ticket.id());
+            advanceGiven();
+            state = State.RUNNING;
+            startedAt = given;
+            onCores++;
+        }
+
+        private boolean anotherCallLikely() {
+            double ended = track.endedAt[Math.min(calls, 7) - 1];
+            if (ended > MEMORY_OF) {
+                for (int i = 0; i < track.reached.length; i++) {
+                    track.reached[i] /= 2;
+                    track.endedAt[i] /= 2;
+                }
+            }
+            return calls < 7 && track.reached[calls] * 2 > track.endedAt[calls - 1];
+        }
+
+        /** Rule 4: a call that was given up stays in the hands of what lies below for a while. */
+        private void callGivenUp() {
+            lingers();
+            state = State.WAITS_TO_CALL;
+        }
+
+        private void lingers() {
+            at(server.now().plus(span("domain.linger_ns")), () -> callsInHand--);
+        }
+
+        @Override
+        public void left() {
+            answered = true;
+            if (state == State.RUNNING) {
+                if (canStop) {
+                    server.stop(ticket.id());
+                }
+            } else if (state != State.CALLING && state != State.WAITS_TO_CALL) {
+                if (!ran && remembered.get(ticket.id()) == this) {
+                    unremember();
+                    server.forget(ticket.id());
+                }
+                over();
+            }
+        }
+    }
+
+    // ---- deciding ----
+
+    @Override
+    public void settle() {
+        advanceGiven();
+        turnAway();
+        startRuns();
+        startCalls();
+        Alarm next = alarms.peek();
+        if (next != null && next.at().isBefore(armed)) {
+            armed = next.at();
+            server.wakeAt(armed);
+        }
+    }
+
+    /**
+     * Turns away what would only wait in vain: going through the hold by agreed time, the moment one can't be
+     * met, the ticket among those gone through that earns least for its cost makes room.
+     */
+    private void turnAway() {
+        if (hold.isEmpty()) {
+            return;
+        }
+        Moment now = server.now();
+        double ahead = 0;
+        PriorityQueue<Held> soFar = new PriorityQueue<>(
+                Comparator.comparingDouble(Held::worth).thenComparing(Comparator.comparingLong((Held h) -> -h.number)));
+        List<Held> gone = new ArrayList<>();
+        double running = onCores * meanCost() / 2;
+        for (Held held : hold) {
+            soFar.add(held);
+            ahead += held.cost();
+            double needs = (running + ahead) / cores + held.cost();
+            double left = held.due.since(now).seconds();
+            double whole = held.due.since(held.reached).seconds();
+            boolean fresh = now.since(held.reached).seconds() < whole * 0.1;
+            if (needs > (fresh ? left * ROOMY : left)) {
+                Held least = soFar.poll();
+                ahead -= least.cost();
+                gone.add(least);
+            }
+        }
+        for (Held held : gone) {
+            held.bounce(Span.ofSeconds(ahead / cores / 2));
+        }
+    }
+
+    private void startRuns() {
+        double room = Math.min(cores * BUSY / wanting, crowdCeiling());
+        while (!hold.isEmpty() && onCores < room) {
+            Held next = hold.first();
+            double more = next.memoryKb * (number("domain.run_mem_factor", 1) - 1);
+            if (usedKb + more > memory * SAFE) {
+                break;
+            }
+            next.run();
+        }
+    }
+
+    /** Rule 4: the crowd on the cores that this machine survives just now, with a margin. */
+    private double crowdCeiling() {
+        return cores * (1 + (number("rules.fall_multiple", 3) - 1) * speedNow()) * SAFE;
+    }
+
+    /** The share of its speed that a machine has for certain: it starts cold and rises evenly. */
+    private double speedNow() {
+        double ramp = number("rules.ramp_time_ns", 0);
+        if (!text("domain.cold").equals("true") || ramp <= 0) {
+            return 1;
+        }
+        double from = number("rules.cold_share", 1);
+        return Math.min(1, from + (1 - from) * server.now().since(born).nanos() / ramp);
+    }
+
+    private void startCalls() {
+        double most = sharedBelow ? Math.max(1, number("domain.calls_out", 1e9)) : 1e9;
+        while (!waitsToCall.isEmpty()) {
+            Held next = waitsToCall.first();
+            if (next.answered) {
+                waitsToCall.remove(next);
+            } else if (next.useless().isBefore(server.now().plus(step))) {
+                waitsToCall.remove(next);
+                next.fail();
+            } else if (callsInHand + 1 <= most) {
+                next.makeCall();
+            } else {
+                return;
+            }
+        }
+    }
+
+    /** TARGET: half the agreed time or three calm medians, whichever is more; none before there is a median. */
+    private static Span target(TrackBook track) {
+        if (track.calmCalls.weight() < ENOUGH) {
+            return null;
+        }
+        return track.agreed.times(0.5).max(Span.ofSeconds(3 * track.calmCalls.median()));
+    }
+
+    private void advanceGiven() {
+        double passed = server.now().since(givenAt).seconds();
+        given += passed * Math.min(1, cores / Math.max(1e-9, onCores * wanting));
+        givenAt = server.now();
+    }
+
+    private double meanCost() {
+        double sum = 0;
+        double weight = 0;
+        for (TrackBook track : tracks) {
+            double share = Math.max(1, track.cost.weight());
+            sum += share * (track.cost.weight() >= ENOUGH ? track.cost.mean() : track.firstCost / speedNow());
+            weight += share;
+        }
+        return weight > 0 ? sum / weight : 0;
+    }
+
+    private Span retryAfterMost() {
+        return span("bounds.max_retry_after_ns");
+    }
+
+    // ---- leaving, waking, advice ----
+
+    @Override
+    public void leave(Span until) {
+        leftAt = server.now();
+        stopsAt = leftAt.plus(until);
+        server.health(false, true);
+        at(lastCall(), this::endAll);
+        advise();
+    }
+
+    /** Rule 3: by now, a little before the stop, all that was read is answered. */
+    private Moment lastCall() {
+        return stopsAt.minus(stopsAt.since(leftAt).times(0.05).max(step.times(4)));
+    }
+
+    private void endAll() {
+        for (Held held : List.copyOf(open.values())) {
+            held.mustEnd();
+        }
+    }
+
+    @Override
+    public void wake(Gauges gauges) {
+        advanceGiven();
+        if (onCores > 0 && !Double.isNaN(gauges.wantingCore())) {
+            double seen = Math.max(0.3, Math.min(1, gauges.wantingCore() / onCores));
+            wanting += (seen - wanting) / MEMORY_OF;
+        }
+        if (!server.now().isBefore(armed)) {
+            armed = Moment.NEVER;
+        }
+        while (!alarms.isEmpty() && !server.now().isBefore(alarms.peek().at())) {
+            alarms.poll().job().run();
+        }
+    }
+
+    private void at(Moment moment, Runnable job) {
+        alarms.add(new Alarm(moment, order++, job));
+    }
+
+    /** Now and then, at a twentieth of the time over which a crowd is averaged: the advice is set anew. */
+    private void beat() {
+        advise();
+        refusedWork *= 0.9;
+        takenWork *= 0.9;
+        at(server.now().plus(span("rules.fall_ns").times(0.05).max(step)), this::beat);
+    }
+
+    private void advise() {
+        double level = switch (text("domain.advert")) {
+            case "allowance" -> allowance();
+            case "floor" -> leftAt != Moment.NEVER ? 1 : 0;
+            case "weight" -> leftAt != Moment.NEVER ? 0 : 1;
+            default -> -1;
+        };
+        if (level >= 0 && level != advised) {
+            advised = level;
+            server.advise(level);
+        }
+    }
+
+    /** What can be finished within half the mean agreed time, split among the callers. */
+    private double allowance() {
+        if (leftAt != Moment.NEVER) {
+            return 0;
+        }
+        double agreed = 0;
+        for (TrackBook track : tracks) {
+            agreed += track.agreed.seconds() / tracks.size();
+        }
+        double room = Math.max(cores, cores * agreed / 2 / Math.max(1e-9, meanCost()));
+        return Math.round(4 * room / Math.max(1, number("domain.upstreams", 1))) / 4.0;
+    }
+
+    // ---- settings ----
+
+    private String text(String name) {
+        return settings.getOrDefault(name, "");
+    }
+
+    private double number(String name, double otherwise) {
+        return numbers.computeIfAbsent(name, n -> text(n).isEmpty() ? otherwise : Double.parseDouble(text(n)));
+    }
+
+    private Span span(String name) {
+        return new Span(Math.round(number(name, 0)));
+    }
+
+    private String listed(String name, int place) {
+        String[] items = text(name).split(",");
+        return place < items.length ? items[place] : "";
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: subcommands and their usage. */
+package lupinwood.cli;
--- /dev/null
+++ b/src/main/java/lupinwood/node/CustomerId.java
@@ -0,0 +1,4 @@
+package lupinwood.node;
+
+/** A customer, by its place in the settings. */
+public record CustomerId(int number) {}
