--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -42,6 +42,9 @@
     /** Before anything was measured, a ticket is held to cost this part of its agreed time. */
     private static final double FIRST_GUESS = 0.1;
 
+    /** The seconds of its share that a customer can save up. */
+    private static final double SAVED_UP = 2;
+
     private enum State { HELD, RUNNING, WAITS_TO_CALL, CALLING, REUSING, OVER }
 
     /** What the settings say of a track, and what was measured of it. */
@@ -63,12 +66,37 @@
         final double[] endedAt = new double[8];
     }
 
+    /** What one customer may have of this node: its share in tickets a second, and what it has saved up of it. */
+    private final class CustomerBook {
+        final double rate;
+        double saved;
+        Moment seen = born;
+
+        CustomerBook(int i) {
+            rate = number("customers." + i + ".quota_rps", 0) / Math.max(1, number("group_size", 1));
+            saved = rate;
+        }
+
+        /** Whether one more ticket stays within the share; if so it is taken off. */
+        boolean spend() {
+            Moment now = server.now();
+            saved = Math.min(rate * SAVED_UP, saved + rate * now.since(seen).seconds());
+            seen = now;
+            if (saved < 1) {
+                return false;
+            }
+            saved--;
+            return true;
+        }
+    }
+
     private record Alarm(Moment at, long order, Runnable job) {}
 
     private final Server server;
     private final Map<String, String> settings;
     private final Map<String, Double> numbers = new HashMap<>();
     private final List<TrackBook> tracks = new ArrayList<>();
+    private final List<CustomerBook> customers = new ArrayList<>();
     private final double cores;
     private final double memory;
     private final double entryKb;
@@ -123,6 +151,9 @@
         for (int i = 0; i < number("services.count", 0); i++) {
             tracks.add(track(i));
         }
+        for (int i = 0; i < number("customers.count", 0); i++) {
+            customers.add(new CustomerBook(i));
+        }
         server.health(true, true);
         beat();
     }
@@ -155,6 +186,7 @@
         Held held = new Held(ticket);
         open.put(held.number, held);
         usedKb += held.memoryKb;
+        held.chargeCustomer();
         Held original = ticket.original() == null ? null : remembered.get(ticket.original());
         if (held.track.effect == Effect.RECEIPTED && ticket.original() != null
                 && (original == null || original.ran || original.state != State.OVER)) {
@@ -170,7 +202,7 @@
         } else if (usedKb + entryKb > memory * SAFE) {
             // Rule 4: a receipted ticket that could not be remembered is turned away like any other.
             held.bounce(Span.ofSeconds(meanCost()));
-        } else if (held.track.calls && count >= Math.floor(limit)) {
+        } else if (held.track.calls && count >= Math.floor(limit) && !makeRoom(held)) {
             held.bounce(Span.ofSeconds(meanCost()));
         } else {
             if (held.track.effect == Effect.RECEIPTED) {
@@ -186,6 +218,23 @@
         return held;
     }
 
+    /**
+     * Exception to the immediate bounce: one customer's burst fills the single count. At the limit, a ticket
+     * within its customer's share takes the place of a held one beyond it, which is bounced instead.
+     */
+    private boolean makeRoom(Held held) {
+        if (held.overShare) {
+            return false;
+        }
+        for (Held other : hold.descendingSet()) {
+            if (other.overShare && other.counted) {
+                other.bounce(Span.ofSeconds(meanCost()));
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Rule 3: nothing that came over the grace after the notice is run; half the grace is kept as a margin. */
     private boolean leavingFor(Held held) {
         return leftAt != Moment.NEVER
@@ -220,6 +269,8 @@
         int callNumber;
         int triesOfCall;
         boolean calmCall;
+        CustomerBook customer;
+        boolean overShare;
 
         Held(Ticket ticket) {
             this.ticket = ticket;
@@ -244,7 +295,16 @@
         }
 
         double worth() {
-            return track.credit / cost();
+            return track.credit / cost() * (overShare ? number("over_share_worth", 1) : 1);
+        }
+
+        /** Counts this ticket against its customer's share; what goes beyond is worth little. */
+        void chargeCustomer() {
+            int place = ticket.customer().number();
+            if (place < customers.size() && customers.get(place).rate > 0) {
+                customer = customers.get(place);
+                overShare = !customer.spend();
+            }
         }
 
         Moment useless() {
@@ -309,6 +369,9 @@
             server.bounce(ticket.id(), false, comeBackAfter.min(retryAfterMost()));
             refusedWork += cost();
             answered = true;
+            if (customer != null && !overShare) {
+                customer.saved++;
+            }
             if (remembered.get(ticket.id()) == this) {
                 unremember();
                 server.forget(ticket.id());
