--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -660,7 +660,7 @@
     }
 
     private void startCalls() {
-        double most = sharedBelow ? Math.max(1, number("domain.calls_out", 1e9)) : 1e9;
+        double most = sharedBelow ? callsAllowed() : 1e9;
         while (!waitsToCall.isEmpty()) {
             Held next = waitsToCall.first();
             if (next.answered) {
@@ -676,6 +676,14 @@
         }
     }
 
+    /**
+     * The told share is what the dependency survives; it slows down long before. So while the limit stands below
+     * its start, calls in hand stay as far below the share as the limit below its start.
+     */
+    private double callsAllowed() {
+        return Math.max(1, number("domain.calls_out", 1e9) * Math.min(1, limit / Math.max(20, cores)));
+    }
+
     /** TARGET: half the agreed time or three calm medians, whichever is more; none before there is a median. */
     private static Span target(TrackBook track) {
         if (track.calmCalls.weight() < ENOUGH) {
