--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -130,6 +130,8 @@
     private Moment givenAt;
     /** How many of those that run really want a core (the rest wait for a disk). */
     private double wanting = 1;
+    /** The latest calls, fast to follow a change; unlike the calm median it takes in every one. */
+    private final Histogram latestCalls = new Histogram(MEMORY_OF / 4);
     private final Histogram pace = new Histogram(MEMORY_OF);
     private double advised = -1;
     private double refusedWork;
@@ -490,6 +492,7 @@
             if (state != State.CALLING) {
                 return;
             }
+            latestCalls.add(took.seconds());
             if (outcome == Outcome.OK) {
                 callsInHand--;
                 Span target = target(track);
@@ -618,6 +621,9 @@
             soFar.add(held);
             ahead += held.cost();
             double needs = (running + ahead) / cores + held.cost();
+            if (held.track.calls && waitsToCall.size() > 0) {
+                needs += callTime().seconds() * (1 + waitsToCall.size() / callsAllowed());
+            }
             double left = held.due.since(now).seconds();
             double whole = held.due.since(held.reached).seconds();
             boolean fresh = now.since(held.reached).seconds() < whole * 0.1;
@@ -660,12 +666,12 @@
     }
 
     private void startCalls() {
-        double most = sharedBelow ? callsAllowed() : 1e9;
+        double most = callsAllowed();
         while (!waitsToCall.isEmpty()) {
             Held next = waitsToCall.first();
             if (next.answered) {
                 waitsToCall.remove(next);
-            } else if (next.useless().isBefore(server.now().plus(step))) {
+            } else if (next.due.isBefore(server.now().plus(callTime()))) {
                 waitsToCall.remove(next);
                 next.fail();
             } else if (callsInHand + 1 <= most) {
@@ -681,7 +687,12 @@
      * its start, calls in hand stay as far below the share as the limit below its start.
      */
     private double callsAllowed() {
-        return Math.max(1, number("domain.calls_out", 1e9) * Math.min(1, limit / Math.max(20, cores)));
+        return Math.max(1, (sharedBelow ? number("domain.calls_out", 1e9) : 1e9) * Math.min(1, limit / Math.max(20, cores)));
+    }
+
+    /** What a call takes just now; while none is out nothing is known, and one is always tried. */
+    private Span callTime() {
+        return callsInHand > 0 && latestCalls.weight() > 0 ? Span.ofSeconds(latestCalls.median()) : step;
     }
 
     /** TARGET: half the agreed time or three calm medians, whichever is more; none before there is a median. */
