--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -8,17 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import lupinwood.node.Effect;
-import lupinwood.node.Gauges;
-import lupinwood.node.Handle;
-import lupinwood.node.Histogram;
-import lupinwood.node.Moment;
-import lupinwood.node.Node;
-import lupinwood.node.Outcome;
-import lupinwood.node.Server;
-import lupinwood.node.Span;
-import lupinwood.node.Ticket;
-import lupinwood.node.TicketId;
+import lupinwood.node.*;
 
 /**
  * All decisions of one node: what it takes, runs, bounces and fails. The interface is package lupinwood.node.
@@ -49,21 +39,18 @@
 
     /** What the settings say of a track, and what was measured of it. */
     private static final class TrackBook {
-        boolean calls;
-        Effect effect;
-        Span agreed;
-        double stretch;
-        Span abandon;
-        Span window;
-        double credit;
-        double lateValue;
-        double skipWorth;
-        double firstCost;
+        final Track says;
+        final double firstCost;
         final Histogram cost = new Histogram(MEMORY_OF);
         final Histogram calmCalls = new Histogram(MEMORY_OF);
         /** How many tickets came to their first, second, ... call, and how many ended one; halved with time. */
         final double[] reached = new double[8];
         final double[] endedAt = new double[8];
+
+        TrackBook(Track says) {
+            this.says = says;
+            firstCost = says.agreed().seconds() * FIRST_GUESS;
+        }
     }
 
     /** What one customer may have of this node: its share in tickets a second, and what it has saved up of it. */
@@ -73,7 +60,7 @@
         Moment seen = born;
 
         CustomerBook(int i) {
-            rate = number("customers." + i + ".quota_rps", 0) / Math.max(1, number("group_size", 1));
+            rate = settings.number("customers." + i + ".quota_rps", 0) / Math.max(1, settings.number("group_size", 1));
             saved = rate;
         }
 
@@ -90,11 +77,8 @@
         }
     }
 
-    private record Alarm(Moment at, long order, Runnable job) {}
-
     private final Server server;
-    private final Map<String, String> settings;
-    private final Map<String, Double> numbers = new HashMap<>();
+    private final Settings settings;
     private final List<TrackBook> tracks = new ArrayList<>();
     private final List<CustomerBook> customers = new ArrayList<>();
     private final double cores;
@@ -104,11 +88,8 @@
     private final Span step;
     private final boolean sharedBelow;
     private final boolean canStop;
-    private final boolean stopKeeps;
-    private final PriorityQueue<Alarm> alarms =
-            new PriorityQueue<>(Comparator.comparing(Alarm::at).thenComparing(Alarm::order));
+    private final Alarms alarms;
     private long order;
-    private Moment armed = Moment.NEVER;
 
     /** Held and not run, the soonest agreed time first. */
     private final TreeSet<Held> hold = new TreeSet<>(Held.BY_TIME);
@@ -137,50 +118,29 @@
     private double refusedWork;
     private double takenWork;
 
-    public Brain(Server server, long seed, Map<String, String> settings) {
+    public Brain(Server server, long seed, Map<String, String> map) {
         this.server = server;
-        this.settings = settings;
+        this.settings = new Settings(map);
+        alarms = new Alarms(server);
         born = server.now();
         givenAt = born;
-        step = span("step_ns");
-        cores = Math.max(1, number("domain.cpus", 1));
-        memory = number("domain.memory_kb", 1e12);
-        entryKb = number("domain.entry_kb", 0);
-        sharedBelow = text("domain.below").equals("one_for_all");
-        canStop = !text("domain.stop_mode").equals("off") && !text("domain.stop_mode").isEmpty();
-        stopKeeps = text("domain.stop_mode").equals("freeze");
+        step = settings.span("step_ns");
+        cores = Math.max(1, settings.number("domain.cpus", 1));
+        memory = settings.number("domain.memory_kb", 1e12);
+        entryKb = settings.number("domain.entry_kb", 0);
+        sharedBelow = settings.is("domain.below", "one_for_all");
+        canStop = settings.is("domain.stop_mode", "discard") || settings.is("domain.stop_mode", "freeze");
         limit = Math.max(20, cores);
-        for (int i = 0; i < number("services.count", 0); i++) {
-            tracks.add(track(i));
+        for (int i = 0; i < settings.number("services.count", 0); i++) {
+            tracks.add(new TrackBook(Track.read(settings, i)));
         }
-        for (int i = 0; i < number("customers.count", 0); i++) {
+        for (int i = 0; i < settings.number("customers.count", 0); i++) {
             customers.add(new CustomerBook(i));
         }
         server.health(true, true);
         beat();
     }
 
-    private TrackBook track(int i) {
-        String at = "services." + i + ".";
-        TrackBook track = new TrackBook();
-        track.calls = listed("domain.class_calls", i).equals("true") && !text("domain.below").equals("off");
-        track.effect = switch (text(at + "effect")) {
-            case "pure" -> Effect.PURE;
-            case "token" -> Effect.RECEIPTED;
-            default -> Effect.EFFECTFUL;
-        };
-        track.agreed = span(at + "aim_ns");
-        track.stretch = number(at + "aim_stretch", 0);
-        track.abandon = span(at + "give_up_ns");
-        track.window = span(at + "window_ns");
-        track.credit = number(at + "worth", 1);
-        track.lateValue = number(at + "late_value", 0);
-        String skip = listed("domain.class_skip_worth", i);
-        track.skipWorth = skip.isEmpty() ? 0 : Double.parseDouble(skip);
-        track.firstCost = track.agreed.seconds() * FIRST_GUESS;
-        return track;
-    }
-
     // ---- arrival ----
 
     @Override
@@ -190,7 +150,7 @@
         usedKb += held.memoryKb;
         held.chargeCustomer();
         Held original = ticket.original() == null ? null : remembered.get(ticket.original());
-        if (held.track.effect == Effect.RECEIPTED && ticket.original() != null
+        if (held.track.says.effect() == Effect.RECEIPTED && ticket.original() != null
                 && (original == null || original.ran || original.state != State.OVER)) {
             // Rule 2: some try of this ticket ran here, or may yet; it is never run again.
             if (original != null && !original.failed) {
@@ -204,10 +164,10 @@
         } else if (usedKb + entryKb > memory * SAFE) {
             // Rule 4: a receipted ticket that could not be remembered is turned away like any other.
             held.bounce(Span.ofSeconds(meanCost()));
-        } else if (held.track.calls && count >= Math.floor(limit) && !makeRoom(held)) {
+        } else if (held.track.says.calls() && count >= Math.floor(limit) && !makeRoom(held)) {
             held.bounce(Span.ofSeconds(meanCost()));
         } else {
-            if (held.track.effect == Effect.RECEIPTED) {
+            if (held.track.says.effect() == Effect.RECEIPTED) {
                 held.remember();
             }
             held.countIn();
@@ -215,7 +175,7 @@
             takenWork += held.cost();
         }
         if (held.state != State.OVER) {
-            at(held.lastAnswer, held::mustEnd);
+            alarms.at(held.lastAnswer, held::mustEnd);
         }
         return held;
     }
@@ -240,7 +200,7 @@
     /** Rule 3: nothing that came over the grace after the notice is run; half the grace is kept as a margin. */
     private boolean leavingFor(Held held) {
         return leftAt != Moment.NEVER
-                && (!held.reached.isBefore(leftAt.plus(span("rules.drain_grace_ns").times(0.5)))
+                && (!held.reached.isBefore(leftAt.plus(settings.span("rules.drain_grace_ns").times(0.5)))
                         || !server.now().isBefore(lastCall()));
     }
 
@@ -279,9 +239,9 @@
             track = tracks.get(ticket.track().number());
             number = order++;
             reached = server.now().minus(ticket.waited());
-            Span agreed = track.agreed.plus(ticket.work().times(track.stretch));
+            Span agreed = track.says.agreed().plus(ticket.work().times(track.says.agreedStretch()));
             boolean told = ticket.patience().isPositive();
-            Moment callerGone = told ? server.now().plus(ticket.patience()) : reached.plus(track.abandon);
+            Moment callerGone = told ? server.now().plus(ticket.patience()) : reached.plus(track.says.abandon());
             lastAnswer = callerGone.minus(step.plus(step));
             Moment agreedAt = reached.plus(agreed);
             due = agreedAt.isBefore(lastAnswer) ? agreedAt : lastAnswer;
@@ -297,7 +257,7 @@
         }
 
         double worth() {
-            return track.credit / cost() * (overShare ? number("over_share_worth", 1) : 1);
+            return track.says.credit() / cost() * (overShare ? settings.number("over_share_worth", 1) : 1);
         }
 
         /** Counts this ticket against its customer's share; what goes beyond is worth little. */
@@ -310,16 +270,16 @@
         }
 
         Moment useless() {
-            return track.lateValue > 0 ? lastAnswer : due;
+            return track.says.lateValue() > 0 ? lastAnswer : due;
         }
 
         void remember() {
-            Span left = reached.plus(track.window).since(server.now());
+            Span left = reached.plus(track.says.window()).since(server.now());
             if (left.isPositive()) {
                 usedKb += entryKb;
                 remembered.put(ticket.id(), this);
                 server.remember(ticket.id(), left.plus(step));
-                at(server.now().plus(left).plus(step).plus(step), this::unremember);
+                alarms.in(left.plus(step).plus(step), this::unremember);
             }
         }
 
@@ -330,7 +290,7 @@
         }
 
         void countIn() {
-            if (track.calls && !counted) {
+            if (track.says.calls() && !counted) {
                 counted = true;
                 count++;
             }
@@ -349,7 +309,7 @@
             state = State.RUNNING;
             ran = true;
             heavy = true;
-            usedKb += memoryKb * (number("domain.run_mem_factor", 1) - 1);
+            usedKb += memoryKb * (settings.number("domain.run_mem_factor", 1) - 1);
             startedAt = given;
             onCores++;
             server.run(ticket.id());
@@ -419,7 +379,7 @@
             waitsToCall.remove(this);
             state = State.OVER;
             open.remove(number);
-            usedKb -= memoryKb * (heavy ? number("domain.run_mem_factor", 1) : 1);
+            usedKb -= memoryKb * (heavy ? settings.number("domain.run_mem_factor", 1) : 1);
             countOut();
             server.over(ticket.id());
         }
@@ -470,7 +430,7 @@
             int thisCall = callNumber;
             Span target = target(track);
             if (target != null && target.compareTo(left) < 0) {
-                at(server.now().plus(target), () -> {
+                alarms.in(target, () -> {
                     if (state == State.CALLING && callNumber == thisCall) {
                         cut();
                     }
@@ -527,14 +487,14 @@
             }
             callsInHand--;
             triesOfCall++;
-            boolean mayRepeat = track.effect == Effect.PURE || outcome.provesNeverRan();
+            boolean mayRepeat = track.says.effect() == Effect.PURE || outcome.provesNeverRan();
             if (mayRepeat && triesOfCall < 3) {
-                at(server.now().plus(Span.ofSeconds(meanCost() * triesOfCall)), () -> {
+                alarms.in(Span.ofSeconds(meanCost() * triesOfCall), () -> {
                     if (state == State.WAITS_TO_CALL && !answered) {
                         waitsToCall.add(this);
                     }
                 });
-            } else if (track.skipWorth > 0) {
+            } else if (track.says.skipWorth() > 0) {
                 skipCall();
             } else {
                 fail();
@@ -568,7 +528,7 @@
         }
 
         private void lingers() {
-            at(server.now().plus(span("domain.linger_ns")), () -> callsInHand--);
+            alarms.in(settings.span("domain.linger_ns"), () -> callsInHand--);
         }
 
         @Override
@@ -596,11 +556,7 @@
         turnAway();
         startRuns();
         startCalls();
-        Alarm next = alarms.peek();
-        if (next != null && next.at().isBefore(armed)) {
-            armed = next.at();
-            server.wakeAt(armed);
-        }
+        alarms.arm();
     }
 
     /**
@@ -621,7 +577,7 @@
             soFar.add(held);
             ahead += held.cost();
             double needs = (running + ahead) / cores + held.cost();
-            if (held.track.calls && waitsToCall.size() > 0) {
+            if (held.track.says.calls() && waitsToCall.size() > 0) {
                 needs += callTime().seconds() * (1 + waitsToCall.size() / callsAllowed());
             }
             double left = held.due.since(now).seconds();
@@ -642,7 +598,7 @@
         double room = Math.min(cores * BUSY / wanting, crowdCeiling());
         while (!hold.isEmpty() && onCores < room) {
             Held next = hold.first();
-            double more = next.memoryKb * (number("domain.run_mem_factor", 1) - 1);
+            double more = next.memoryKb * (settings.number("domain.run_mem_factor", 1) - 1);
             if (usedKb + more > memory * SAFE) {
                 break;
             }
@@ -652,16 +608,16 @@
 
     /** Rule 4: the crowd on the cores that this machine survives just now, with a margin. */
     private double crowdCeiling() {
-        return cores * (1 + (number("rules.fall_multiple", 3) - 1) * speedNow()) * SAFE;
+        return cores * (1 + (settings.number("rules.fall_multiple", 3) - 1) * speedNow()) * SAFE;
     }
 
     /** The share of its speed that a machine has for certain: it starts cold and rises evenly. */
     private double speedNow() {
-        double ramp = number("rules.ramp_time_ns", 0);
-        if (!text("domain.cold").equals("true") || ramp <= 0) {
+        double ramp = settings.number("rules.ramp_time_ns", 0);
+        if (!settings.is("domain.cold", "true") || ramp <= 0) {
             return 1;
         }
-        double from = number("rules.cold_share", 1);
+        double from = settings.number("rules.cold_share", 1);
         return Math.min(1, from + (1 - from) * server.now().since(born).nanos() / ramp);
     }
 
@@ -687,7 +643,7 @@
      * its start, calls in hand stay as far below the share as the limit below its start.
      */
     private double callsAllowed() {
-        return Math.max(1, (sharedBelow ? number("domain.calls_out", 1e9) : 1e9) * Math.min(1, limit / Math.max(20, cores)));
+        return Math.max(1, (sharedBelow ? settings.number("domain.calls_out", 1e9) : 1e9) * Math.min(1, limit / Math.max(20, cores)));
     }
 
     /** What a call takes just now; while none is out nothing is known, and one is always tried. */
@@ -700,7 +656,7 @@
         if (track.calmCalls.weight() < ENOUGH) {
             return null;
         }
-        return track.agreed.times(0.5).max(Span.ofSeconds(3 * track.calmCalls.median()));
+        return track.says.agreed().times(0.5).max(Span.ofSeconds(3 * track.calmCalls.median()));
     }
 
     private void advanceGiven() {
@@ -721,7 +677,7 @@
     }
 
     private Span retryAfterMost() {
-        return span("bounds.max_retry_after_ns");
+        return settings.span("bounds.max_retry_after_ns");
     }
 
     // ---- leaving, waking, advice ----
@@ -731,7 +687,7 @@
         leftAt = server.now();
         stopsAt = leftAt.plus(until);
         server.health(false, true);
-        at(lastCall(), this::endAll);
+        alarms.at(lastCall(), this::endAll);
         advise();
     }
 
@@ -753,16 +709,7 @@
             double seen = Math.max(0.3, Math.min(1, gauges.wantingCore() / onCores));
             wanting += (seen - wanting) / MEMORY_OF;
         }
-        if (!server.now().isBefore(armed)) {
-            armed = Moment.NEVER;
-        }
-        while (!alarms.isEmpty() && !server.now().isBefore(alarms.peek().at())) {
-            alarms.poll().job().run();
-        }
-    }
-
-    private void at(Moment moment, Runnable job) {
-        alarms.add(new Alarm(moment, order++, job));
+        alarms.ring();
     }
 
     /** Now and then, at a twentieth of the time over which a crowd is averaged: the advice is set anew. */
@@ -770,11 +717,11 @@
         advise();
         refusedWork *= 0.9;
         takenWork *= 0.9;
-        at(server.now().plus(span("rules.fall_ns").times(0.05).max(step)), this::beat);
+        alarms.in(settings.span("rules.fall_ns").times(0.05).max(step), this::beat);
     }
 
     private void advise() {
-        double level = switch (text("domain.advert")) {
+        double level = switch (settings.text("domain.advert")) {
             case "allowance" -> allowance();
             case "floor" -> leftAt != Moment.NEVER ? 1 : 0;
             case "weight" -> leftAt != Moment.NEVER ? 0 : 1;
@@ -793,28 +740,9 @@
         }
         double agreed = 0;
         for (TrackBook track : tracks) {
-            agreed += track.agreed.seconds() / tracks.size();
+            agreed += track.says.agreed().seconds() / tracks.size();
         }
         double room = Math.max(cores, cores * agreed / 2 / Math.max(1e-9, meanCost()));
-        return Math.round(4 * room / Math.max(1, number("domain.upstreams", 1))) / 4.0;
-    }
-
-    // ---- settings ----
-
-    private String text(String name) {
-        return settings.getOrDefault(name, "");
-    }
-
-    private double number(String name, double otherwise) {
-        return numbers.computeIfAbsent(name, n -> text(n).isEmpty() ? otherwise : Double.parseDouble(text(n)));
-    }
-
-    private Span span(String name) {
-        return new Span(Math.round(number(name, 0)));
-    }
-
-    private String listed(String name, int place) {
-        String[] items = text(name).split(",");
-        return place < items.length ? items[place] : "";
+        return Math.round(4 * room / Math.max(1, settings.number("domain.upstreams", 1))) / 4.0;
     }
 }
