--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -29,6 +29,8 @@
     private static final double BUSY = 1.3;
     /** The part of its time to the agreed time that a new arrival may be reckoned to need. */
     private static final double ROOMY = 0.85;
+    /** The part of their time to the agreed time that tickets may wait before callers are asked to send less. */
+    private static final double EASY = 0.15;
     /** Before anything was measured, a ticket is held to cost this part of its agreed time. */
     private static final double FIRST_GUESS = 0.1;
 
@@ -115,8 +117,10 @@
     private final Histogram latestCalls = new Histogram(MEMORY_OF / 4);
     private final Histogram pace = new Histogram(MEMORY_OF);
     private double advised = -1;
-    private double refusedWork;
-    private double takenWork;
+    /** How far through their time to the agreed time the latest tickets were when they were read. */
+    private double unread;
+    /** The rank below which callers are asked to send nothing. */
+    private double floor;
 
     public Brain(Server server, long seed, Map<String, String> map) {
         this.server = server;
@@ -149,6 +153,7 @@
         open.put(held.number, held);
         usedKb += held.memoryKb;
         held.chargeCustomer();
+        unread += (ticket.waited().seconds() / held.track.says.agreed().seconds() - unread) / MEMORY_OF;
         Held original = ticket.original() == null ? null : remembered.get(ticket.original());
         if (held.track.says.effect() == Effect.RECEIPTED && ticket.original() != null
                 && (original == null || original.ran || original.state != State.OVER)) {
@@ -172,7 +177,6 @@
             }
             held.countIn();
             hold.add(held);
-            takenWork += held.cost();
         }
         if (held.state != State.OVER) {
             alarms.at(held.lastAnswer, held::mustEnd);
@@ -329,7 +333,6 @@
                 return;
             }
             server.bounce(ticket.id(), false, comeBackAfter.min(retryAfterMost()));
-            refusedWork += cost();
             answered = true;
             if (customer != null && !overShare) {
                 customer.saved++;
@@ -715,15 +718,33 @@
     /** Now and then, at a twentieth of the time over which a crowd is averaged: the advice is set anew. */
     private void beat() {
         advise();
-        refusedWork *= 0.9;
-        takenWork *= 0.9;
-        alarms.in(settings.span("rules.fall_ns").times(0.05).max(step), this::beat);
+        Span pause = settings.span("rules.fall_ns").times(0.05).max(step);
+        floor += pause.seconds() * (standing() - EASY);
+        floor = Math.max(0, Math.min(1 - 1.0 / Math.max(1, tracks.size()), floor));
+        alarms.in(pause, this::beat);
+    }
+
+    /** The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold. */
+    private double standing() {
+        double work = 0;
+        for (Held held : hold) {
+            work += held.cost();
+        }
+        return work / cores / meanAgreed() + unread;
+    }
+
+    private double meanAgreed() {
+        double sum = 0;
+        for (TrackBook track : tracks) {
+            sum += track.says.agreed().seconds();
+        }
+        return Math.max(1e-9, sum / Math.max(1, tracks.size()));
     }
 
     private void advise() {
         double level = switch (settings.text("domain.advert")) {
             case "allowance" -> allowance();
-            case "floor" -> leftAt != Moment.NEVER ? 1 : 0;
+            case "floor" -> leftAt != Moment.NEVER ? 1 : Math.round(floor * 100) / 100.0;
             case "weight" -> leftAt != Moment.NEVER ? 0 : 1;
             default -> -1;
         };
@@ -738,11 +759,7 @@
         if (leftAt != Moment.NEVER) {
             return 0;
         }
-        double agreed = 0;
-        for (TrackBook track : tracks) {
-            agreed += track.says.agreed().seconds() / tracks.size();
-        }
-        double room = Math.max(cores, cores * agreed / 2 / Math.max(1e-9, meanCost()));
+        double room = Math.max(cores, cores * meanAgreed() / 2 / Math.max(1e-9, meanCost()));
         return Math.round(4 * room / Math.max(1, settings.number("domain.upstreams", 1))) / 4.0;
     }
 }
