--- a/src/main/java/lupinwood/sim/Drill.java
+++ b/src/main/java/lupinwood/sim/Drill.java
@@ -202,6 +202,7 @@
     }
 
     private static Gauges gauges(Fields fields, List<String> names) {
+        fields.u32(); // the timer's tag: a node is woken for whatever is due
         int count = fields.u8();
         Map<String, Double> read = new HashMap<>();
         for (int i = 0; i < count; i++) {
