--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -592,8 +592,9 @@
                 gone.add(least);
             }
         }
+        // What callers are told to wait is what a ticket waits here now, so that they turn to faster nodes.
         for (Held held : gone) {
-            held.bounce(Span.ofSeconds(ahead / cores / 2));
+            held.bounce(Span.ofSeconds(standing() * meanAgreed()));
         }
     }
 
