--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.TreeMap;
@@ -165,12 +166,12 @@
                 held.fail();
             }
         } else if (leavingFor(held)) {
-            held.bounce(retryAfterMost());
+            held.bounce("leaving", retryAfterMost());
         } else if (usedKb + entryKb > memory * SAFE) {
             // Rule 4: a receipted ticket that could not be remembered is turned away like any other.
-            held.bounce(Span.ofSeconds(meanCost()));
+            held.bounce("memory full", Span.ofSeconds(meanCost()));
         } else if (held.track.says.calls() && count >= Math.floor(limit) && !makeRoom(held)) {
-            held.bounce(Span.ofSeconds(meanCost()));
+            held.bounce("count at limit", Span.ofSeconds(meanCost()));
         } else {
             if (held.track.says.effect() == Effect.RECEIPTED) {
                 held.remember();
@@ -194,7 +195,7 @@
         }
         for (Held other : hold.descendingSet()) {
             if (other.overShare && other.counted) {
-                other.bounce(Span.ofSeconds(meanCost()));
+                other.bounce("over its customer's share", Span.ofSeconds(meanCost()));
                 return true;
             }
         }
@@ -327,11 +328,12 @@
             }
         }
 
-        void bounce(Span comeBackAfter) {
+        void bounce(String why, Span comeBackAfter) {
             if (ran) {
                 fail();
                 return;
             }
+            server.log("bounce " + ticket.id().number() + ": " + why);
             server.bounce(ticket.id(), false, comeBackAfter.min(retryAfterMost()));
             answered = true;
             if (customer != null && !overShare) {
@@ -368,7 +370,7 @@
                 if (ran || state == State.REUSING) {
                     fail();
                 } else {
-                    bounce(Span.ZERO);
+                    bounce("never got to run", Span.ZERO);
                 }
             }
         }
@@ -447,6 +449,7 @@
             if (!cut && target(track) != null) {
                 cut = true;
                 limit = Math.max(Math.max(5, cores), limit * 0.9);
+                server.log(String.format(Locale.ROOT, "limit cut to %.1f", limit));
             }
         }
 
@@ -576,7 +579,12 @@
                 Comparator.comparingDouble(Held::worth).thenComparing(Comparator.comparingLong((Held h) -> -h.number)));
         List<Held> gone = new ArrayList<>();
         double running = onCores * meanCost() / 2;
+        // A free core always tries: an estimate that has gone wrong could otherwise never be put right.
+        double free = cores - onCores;
         for (Held held : hold) {
+            if (free-- >= 1) {
+                continue;
+            }
             soFar.add(held);
             ahead += held.cost();
             double needs = (running + ahead) / cores + held.cost();
@@ -592,14 +600,13 @@
                 gone.add(least);
             }
         }
-        // What callers are told to wait is what a ticket waits here now, so that they turn to faster nodes.
         for (Held held : gone) {
-            held.bounce(Span.ofSeconds(standing() * meanAgreed()));
+            held.bounce("would wait in vain", Span.ofSeconds((ahead / 2 + meanCost()) / cores));
         }
     }
 
     private void startRuns() {
-        double room = Math.min(cores * BUSY / wanting, crowdCeiling());
+        double room = Math.min(cores * BUSY / wanting, Math.floor(crowdCeiling()));
         while (!hold.isEmpty() && onCores < room) {
             Held next = hold.first();
             double more = next.memoryKb * (settings.number("domain.run_mem_factor", 1) - 1);
--- /dev/null
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -0,0 +1,245 @@
+package lupinwood;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import lupinwood.node.*;
+import org.junit.jupiter.api.Test;
+
+final class BrainTest {
+    private final Machine machine = new Machine();
+
+    @Test
+    void everyTicketIsAnsweredBeforeItsAbandonTime() {
+        machine.set("domain.calls_out=1").start();
+        long running = machine.arrive(Machine.EFFECTFUL);
+        long atCall = machine.arrive(Machine.EFFECTFUL);
+        machine.tell(atCall, Handle::needsCall);
+        long waits = machine.arrive(Machine.RECEIPTED);
+        machine.tell(waits, Handle::needsCall);
+        machine.pass(6000);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 run 1
+                0 run 2
+                0 call 2
+                0 remember 3
+                0 run 3
+                2000 fail 3
+                4998 fail 1
+                4998 fail 2
+                """);
+    }
+
+    @Test
+    void aRepeatIsServedFromItsOriginalAndNeverRun() {
+        machine.start();
+        long first = machine.arrive(Machine.RECEIPTED);
+        long during = machine.arrive(Machine.RECEIPTED, first, 10, 0);
+        machine.end(first);
+        machine.tell(during, handle -> handle.ended(Outcome.OK, Span.ZERO));
+        machine.pass(7000);
+        machine.arrive(Machine.RECEIPTED, first, 10, 0);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 remember 1
+                0 run 1
+                0 reuse for 2
+                7000 reuse for 3
+                """);
+    }
+
+    @Test
+    void aRepeatOfWhatFailedAfterItsRunFailsToo() {
+        machine.start();
+        long first = machine.arrive(Machine.RECEIPTED);
+        machine.tell(first, handle -> handle.ended(Outcome.ERROR, Span.ZERO));
+        machine.arrive(Machine.RECEIPTED, first, 10, 0);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 remember 1
+                0 run 1
+                0 fail 2
+                """);
+    }
+
+    @Test
+    void nothingThatComesOverTheGraceIsRunAndAllIsAnsweredBeforeTheStop() {
+        machine.start();
+        machine.arrive(Machine.LOCAL);
+        machine.brain.leave(Span.ofSeconds(3));
+        machine.pass(400);
+        machine.arrive(Machine.LOCAL);
+        machine.pass(800);
+        machine.arrive(Machine.LOCAL);
+        machine.pass(2000);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 run 1
+                0 health bad
+                400 run 2
+                1200 log bounce 3: leaving
+                1200 bounce 3, come back later
+                2850 fail 1
+                2850 fail 2
+                """);
+    }
+
+    @Test
+    void memoryThatIsNearlyFullBouncesAndHoldsBackRuns() {
+        machine.set("domain.memory_kb=100").start();
+        machine.arrive(Machine.LOCAL, 0, 20, 0);
+        machine.arrive(Machine.LOCAL, 0, 4, 0);
+        machine.arrive(Machine.RECEIPTED, 0, 3, 0);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 run 1
+                0 log bounce 3: memory full
+                0 bounce 3, come back later
+                """);
+    }
+
+    @Test
+    void aColdMachineRunsFewer() {
+        machine.set("domain.cold=true rules.cold_share=0.2 rules.ramp_time_ns=10000000000 rules.fall_multiple=1.1")
+                .start();
+        for (int i = 0; i < 3; i++) {
+            machine.arrive(Machine.LOCAL);
+        }
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 run 1
+                0 log bounce 3: would wait in vain
+                0 bounce 3, come back later
+                """);
+    }
+
+    @Test
+    void aMachineThoughtTooSlowStillTriesOnAFreeCore() {
+        machine.set("domain.cold=true rules.cold_share=0.01 rules.ramp_time_ns=10000000000 rules.fall_multiple=9")
+                .start();
+        for (int i = 0; i < 3; i++) {
+            machine.arrive(Machine.LOCAL);
+        }
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 run 1
+                0 log bounce 3: would wait in vain
+                0 bounce 3, come back later
+                """);
+    }
+
+    @Test
+    void atTheLimitArrivalsAreBouncedAtOnceAndOthersAreNot() {
+        patient().set("domain.cpus=8").start();
+        for (int i = 0; i < 20; i++) {
+            machine.arrive(Machine.PURE, 0, 1, 0);
+        }
+        machine.trace.clear();
+        machine.arrive(Machine.EFFECTFUL);
+        machine.arrive(Machine.LOCAL);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 log bounce 21: count at limit
+                0 bounce 21, come back later
+                """);
+    }
+
+    @Test
+    void noCutBeforeThereIsAMedian() {
+        patient().start();
+        long slow = machine.arrive(Machine.PURE);
+        machine.call(slow, 15000, Outcome.OK);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 run 1
+                0 call 1
+                """);
+    }
+
+    @Test
+    void aCallIsFlaggedSlowWhileItIsOutAndOnlyOnce() {
+        patient().start();
+        machine.calm(100);
+        long slow = machine.arrive(Machine.PURE);
+        machine.call(slow, 12000, Outcome.BROKEN);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                800 run 9
+                800 call 9
+                10800 log limit cut to 18.0
+                """);
+    }
+
+    @Test
+    void targetIsThreeCalmMediansWhereThatIsMore() {
+        patient().start();
+        machine.calm(5000);
+        long within = machine.arrive(Machine.PURE);
+        machine.call(within, 12000, Outcome.OK);
+        long past = machine.arrive(Machine.PURE);
+        machine.call(past, 18000, Outcome.OK);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                40000 run 9
+                40000 call 9
+                52000 run 10
+                52000 call 10
+                68532 log limit cut to 18.0
+                """);
+    }
+
+    @Test
+    void aTimedOutCallFailsItsTicketAndLingersInHand() {
+        machine.set("domain.calls_out=1").start();
+        long first = machine.arrive(Machine.EFFECTFUL);
+        long second = machine.arrive(Machine.EFFECTFUL);
+        machine.tell(first, Handle::needsCall);
+        machine.tell(second, Handle::needsCall);
+        machine.tell(first, handle -> handle.callEnded(Outcome.TIMED_OUT, Span.ofSeconds(1)));
+        machine.pass(250);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 run 1
+                0 run 2
+                0 call 1
+                0 fail 1
+                200 call 2
+                """);
+    }
+
+    @Test
+    void anEffectfulCallIsRepeatedOnlyWhenItProvablyNeverRan() {
+        machine.start();
+        long ticket = machine.arrive(Machine.EFFECTFUL);
+        machine.call(ticket, 10, Outcome.UNREACHABLE);
+        machine.pass(500);
+        machine.tell(ticket, handle -> handle.callEnded(Outcome.BROKEN, Span.ofSeconds(0.5)));
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 run 1
+                0 call 1
+                210 call 1
+                510 fail 1
+                """);
+    }
+
+    @Test
+    void oneCustomersBurstGivesWayToTheOthers() {
+        machine.set("customers.count=2 customers.0.quota_rps=1 customers.1.quota_rps=10 over_share_worth=0.05").start();
+        for (int i = 0; i < 22; i++) {
+            machine.arrive(Machine.PURE, 0, 1, 0);
+        }
+        machine.trace.clear();
+        machine.arrive(Machine.PURE, 0, 1, 1);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 log bounce 16: would wait in vain
+                0 bounce 16, come back later
+                """);
+    }
+
+    /** The first track waits so long that only the limit can turn its tickets away. */
+    private Machine patient() {
+        return machine.set("services.0.aim_ns=20000000000 services.0.give_up_ns=40000000000");
+    }
+}
