--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -579,10 +579,11 @@
                 Comparator.comparingDouble(Held::worth).thenComparing(Comparator.comparingLong((Held h) -> -h.number)));
         List<Held> gone = new ArrayList<>();
         double running = onCores * meanCost() / 2;
-        // A free core always tries: an estimate that has gone wrong could otherwise never be put right.
+        // A free core always tries, unless tickets wait to call already: an estimate of cost that has gone wrong
+        // could otherwise never be put right.
         double free = cores - onCores;
         for (Held held : hold) {
-            if (free-- >= 1) {
+            if (free-- >= 1 && (!held.track.says.calls() || waitsToCall.isEmpty())) {
                 continue;
             }
             soFar.add(held);
