--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -89,7 +89,9 @@
     private final double entryKb;
     private final Moment born;
     private final Span step;
-    private final boolean sharedBelow;
+    /** The told share of calls in hand; without a shared dependency only the limit binds. */
+    private final double toldShare;
+    private double callsAllowed;
     private final boolean canStop;
     private final Alarms alarms;
     private long order;
@@ -133,7 +135,9 @@
         cores = Math.max(1, settings.number("domain.cpus", 1));
         memory = settings.number("domain.memory_kb", 1e12);
         entryKb = settings.number("domain.entry_kb", 0);
-        sharedBelow = settings.is("domain.below", "one_for_all");
+        boolean shared = settings.is("domain.below", "one_for_all");
+        toldShare = shared ? Math.max(1, settings.number("domain.calls_out", 1e9)) : 1e9;
+        callsAllowed = toldShare;
         canStop = settings.is("domain.stop_mode", "discard") || settings.is("domain.stop_mode", "freeze");
         limit = Math.max(20, cores);
         for (int i = 0; i < settings.number("services.count", 0); i++) {
@@ -459,6 +463,7 @@
                 return;
             }
             latestCalls.add(took.seconds());
+            feelCrowdBelow(took, track.calmCalls);
             if (outcome == Outcome.OK) {
                 callsInHand--;
                 Span target = target(track);
@@ -590,7 +595,7 @@
             ahead += held.cost();
             double needs = (running + ahead) / cores + held.cost();
             if (held.track.says.calls() && waitsToCall.size() > 0) {
-                needs += callTime().seconds() * (1 + waitsToCall.size() / callsAllowed());
+                needs += callTime().seconds() * (1 + waitsToCall.size() / callsAllowed);
             }
             double left = held.due.since(now).seconds();
             double whole = held.due.since(held.reached).seconds();
@@ -634,7 +639,6 @@
     }
 
     private void startCalls() {
-        double most = callsAllowed();
         while (!waitsToCall.isEmpty()) {
             Held next = waitsToCall.first();
             if (next.answered) {
@@ -642,7 +646,7 @@
             } else if (next.due.isBefore(server.now().plus(callTime()))) {
                 waitsToCall.remove(next);
                 next.fail();
-            } else if (callsInHand + 1 <= most) {
+            } else if (callsInHand + 1 <= callsAllowed) {
                 next.makeCall();
             } else {
                 return;
@@ -651,11 +655,13 @@
     }
 
     /**
-     * The told share is what the dependency survives; it slows down long before. So while the limit stands below
-     * its start, calls in hand stay as far below the share as the limit below its start.
+     * The told share is what a shared dependency survives; it slows down long before. So the calls in hand that
+     * are allowed shrink below the share, to one at the least, while calls take over three calm medians.
      */
-    private double callsAllowed() {
-        return Math.max(1, (sharedBelow ? settings.number("domain.calls_out", 1e9) : 1e9) * Math.min(1, limit / Math.max(20, cores)));
+    private void feelCrowdBelow(Span took, Histogram calm) {
+        boolean crowded = calm.weight() >= ENOUGH && took.seconds() > 3 * calm.median();
+        callsAllowed = crowded && toldShare < 1e9 ? Math.max(1, callsAllowed * 0.9)
+                : Math.min(toldShare, callsAllowed + 1 / callsAllowed);
     }
 
     /** What a call takes just now; while none is out nothing is known, and one is always tried. */
