--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -50,6 +50,10 @@
         final double[] reached = new double[8];
         final double[] endedAt = new double[8];
 
+        /** How many tickets were asked for and how many satisfied in their agreed time; halved with time. */
+        double asked;
+        double satisfied;
+
         TrackBook(Track says) {
             this.says = says;
             firstCost = says.agreed().seconds() * FIRST_GUESS;
@@ -99,6 +103,8 @@
     /** Held and not run, the soonest agreed time first. */
     private final TreeSet<Held> hold = new TreeSet<>(Held.BY_TIME);
     private final TreeSet<Held> waitsToCall = new TreeSet<>(Held.BY_TIME);
+    private double askedCredit;
+    private TrackBook worst;
     private final Map<TicketId, Held> remembered = new HashMap<>();
     /** All that is owed an answer or still takes memory, by arrival. */
     private final TreeMap<Long, Held> open = new TreeMap<>();
@@ -158,6 +164,8 @@
         open.put(held.number, held);
         usedKb += held.memoryKb;
         held.chargeCustomer();
+        held.track.asked++;
+        judgeTracks();
         unread += (ticket.waited().seconds() / held.track.says.agreed().seconds() - unread) / MEMORY_OF;
         Held original = ticket.original() == null ? null : remembered.get(ticket.original());
         if (held.track.says.effect() == Effect.RECEIPTED && ticket.original() != null
@@ -189,6 +197,24 @@
         return held;
     }
 
+    private void judgeTracks() {
+        double asked = 0;
+        askedCredit = 0;
+        for (TrackBook track : tracks) {
+            asked += track.asked;
+            askedCredit += track.asked * track.says.credit();
+            if (track.asked > 0 && (worst == null || track.satisfied * worst.asked < worst.satisfied * track.asked)) {
+                worst = track;
+            }
+        }
+        if (asked > MEMORY_OF * 8) {
+            for (TrackBook track : tracks) {
+                track.asked /= 2;
+                track.satisfied /= 2;
+            }
+        }
+    }
+
     /**
      * Exception to the immediate bounce: one customer's burst fills the single count. At the limit, a ticket
      * within its customer's share takes the place of a held one beyond it, which is bounced instead.
@@ -265,8 +291,15 @@
             return track.cost.weight() >= ENOUGH ? track.cost.mean() : track.firstCost / speedNow();
         }
 
+        /** What satisfying this one adds to the goal: its credit, and more while its track is served worst. */
+        double gain() {
+            double gain = (1 - settings.number("goal.worst_class", 0)) * track.says.credit() / askedCredit
+                    + (track == worst ? settings.number("goal.worst_class", 0) / track.asked : 0);
+            return gain * (overShare ? settings.number("over_share_worth", 1) : 1);
+        }
+
         double worth() {
-            return track.says.credit() / cost() * (overShare ? settings.number("over_share_worth", 1) : 1);
+            return gain() / cost();
         }
 
         /** Counts this ticket against its customer's share; what goes beyond is worth little. */
@@ -408,6 +441,9 @@
             if (wasRunning) {
                 state = State.WAITS_TO_CALL;
             }
+            if (outcome == Outcome.OK && !answered && !due.isBefore(server.now())) {
+                track.satisfied++;
+            }
             if (outcome == Outcome.OK && wasRunning) {
                 track.cost.add(got);
                 if (ticket.work().isPositive()) {
@@ -595,7 +631,8 @@
             ahead += held.cost();
             double needs = (running + ahead) / cores + held.cost();
             if (held.track.says.calls() && waitsToCall.size() > 0) {
-                needs += callTime().seconds() * (1 + waitsToCall.size() / callsAllowed);
+                long before = waitsToCall.stream().filter(other -> other.gain() >= held.gain()).count();
+                needs += callTime().seconds() * (1 + before / callsAllowed);
             }
             double left = held.due.since(now).seconds();
             double whole = held.due.since(held.reached).seconds();
@@ -639,18 +676,21 @@
     }
 
     private void startCalls() {
-        while (!waitsToCall.isEmpty()) {
-            Held next = waitsToCall.first();
-            if (next.answered) {
-                waitsToCall.remove(next);
-            } else if (next.due.isBefore(server.now().plus(callTime()))) {
-                waitsToCall.remove(next);
-                next.fail();
-            } else if (callsInHand + 1 <= callsAllowed) {
-                next.makeCall();
-            } else {
-                return;
+        Moment soonest = server.now().plus(callTime());
+        for (Held waiting : List.copyOf(waitsToCall)) {
+            if (waiting.answered) {
+                waitsToCall.remove(waiting);
+            } else if (waiting.due.isBefore(soonest)) {
+                waitsToCall.remove(waiting);
+                waiting.fail();
+            }
+        }
+        while (!waitsToCall.isEmpty() && callsInHand + 1 <= callsAllowed) {
+            Held best = waitsToCall.first();
+            for (Held waiting : waitsToCall) {
+                best = waiting.gain() > best.gain() ? waiting : best;
             }
+            best.makeCall();
         }
     }
 
