--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -24,17 +24,16 @@
     private static final double MEMORY_OF = 32;
     /** No median is trusted before this many figures. */
     private static final double ENOUGH = 6;
-    /** The part of a hard ceiling (memory, crowd) that is used; the rest is for what comes between two batches. */
+    /** The part of a hard ceiling (memory, crowd) that is used; the rest is for what comes in between. */
     private static final double SAFE = 0.85;
     /** Tickets wanting a core for each core: enough to keep all busy, too few to make each slow. */
     private static final double BUSY = 1.3;
     /** The part of its time to the agreed time that a new arrival may be reckoned to need. */
     private static final double ROOMY = 0.85;
-    /** The part of their time to the agreed time that tickets may wait before callers are asked to send less. */
+    /** The part of their agreed time that tickets may wait before callers are asked to send less. */
     private static final double EASY = 0.15;
     /** Before anything was measured, a ticket is held to cost this part of its agreed time. */
     private static final double FIRST_GUESS = 0.1;
-
     /** The seconds of its share that a customer can save up. */
     private static final double SAVED_UP = 2;
 
@@ -46,7 +45,7 @@
         final double firstCost;
         final Histogram cost = new Histogram(MEMORY_OF);
         final Histogram calmCalls = new Histogram(MEMORY_OF);
-        /** How many tickets came to their first, second, ... call, and how many ended one; halved with time. */
+        /** How many tickets came to their first, second, ... call, how many ended it; halved with time. */
         final double[] reached = new double[8];
         final double[] endedAt = new double[8];
 
@@ -60,14 +59,15 @@
         }
     }
 
-    /** What one customer may have of this node: its share in tickets a second, and what it has saved up of it. */
+    /** One customer's share of this node in tickets a second, and what it has saved up of it. */
     private final class CustomerBook {
         final double rate;
         double saved;
         Moment seen = born;
 
         CustomerBook(int i) {
-            rate = settings.number("customers." + i + ".quota_rps", 0) / Math.max(1, settings.number("group_size", 1));
+            rate = settings.number("customers." + i + ".quota_rps", 0)
+                    / Math.max(1, settings.number("group_size", 1));
             saved = rate;
         }
 
@@ -117,7 +117,7 @@
     private Moment leftAt = Moment.NEVER;
     private Moment stopsAt = Moment.NEVER;
 
-    /** Core time given to each running ticket since the start, in seconds: the clock by which cost is measured. */
+    /** Seconds of core time given to each running ticket since the start: the clock of all cost. */
     private double given;
     private Moment givenAt;
     /** How many of those that run really want a core (the rest wait for a disk). */
@@ -162,7 +162,7 @@
     public Handle take(Ticket ticket) {
         Held held = new Held(ticket);
         open.put(held.number, held);
-        usedKb += held.memoryKb;
+        usedKb += ticket.memoryKb();
         held.chargeCustomer();
         held.track.asked++;
         judgeTracks();
@@ -203,7 +203,8 @@
         for (TrackBook track : tracks) {
             asked += track.asked;
             askedCredit += track.asked * track.says.credit();
-            if (track.asked > 0 && (worst == null || track.satisfied * worst.asked < worst.satisfied * track.asked)) {
+            boolean worse = worst == null || track.satisfied * worst.asked < worst.satisfied * track.asked;
+            if (track.asked > 0 && worse) {
                 worst = track;
             }
         }
@@ -232,7 +233,7 @@
         return false;
     }
 
-    /** Rule 3: nothing that came over the grace after the notice is run; half the grace is kept as a margin. */
+    /** Rule 3: nothing that came over the grace after the notice is run; half of it is kept as a margin. */
     private boolean leavingFor(Held held) {
         return leftAt != Moment.NEVER
                 && (!held.reached.isBefore(leftAt.plus(settings.span("rules.drain_grace_ns").times(0.5)))
@@ -252,13 +253,11 @@
         /** The agreed time, or the last moment that earns anything where late answers don't. */
         final Moment due;
         final Moment lastAnswer;
-        final double memoryKb;
         State state = State.HELD;
         boolean ran;
         boolean answered;
         boolean failed;
         boolean counted;
-        boolean heavy;
         boolean cut;
         double startedAt;
         double got;
@@ -276,11 +275,11 @@
             reached = server.now().minus(ticket.waited());
             Span agreed = track.says.agreed().plus(ticket.work().times(track.says.agreedStretch()));
             boolean told = ticket.patience().isPositive();
-            Moment callerGone = told ? server.now().plus(ticket.patience()) : reached.plus(track.says.abandon());
+            Moment callerGone =
+                    told ? server.now().plus(ticket.patience()) : reached.plus(track.says.abandon());
             lastAnswer = callerGone.minus(step.plus(step));
             Moment agreedAt = reached.plus(agreed);
             due = agreedAt.isBefore(lastAnswer) ? agreedAt : lastAnswer;
-            memoryKb = ticket.memoryKb();
         }
 
         double cost() {
@@ -291,7 +290,7 @@
             return track.cost.weight() >= ENOUGH ? track.cost.mean() : track.firstCost / speedNow();
         }
 
-        /** What satisfying this one adds to the goal: its credit, and more while its track is served worst. */
+        /** What satisfying this one adds to the goal: its credit, and more while its track is worst. */
         double gain() {
             double gain = (1 - settings.number("goal.worst_class", 0)) * track.says.credit() / askedCredit
                     + (track == worst ? settings.number("goal.worst_class", 0) / track.asked : 0);
@@ -325,10 +324,10 @@
             }
         }
 
-        void unremember() {
-            if (remembered.remove(ticket.id(), this)) {
-                usedKb -= entryKb;
-            }
+        boolean unremember() {
+            boolean known = remembered.remove(ticket.id(), this);
+            usedKb -= known ? entryKb : 0;
+            return known;
         }
 
         void countIn() {
@@ -346,15 +345,23 @@
         }
 
         void run() {
-            advanceGiven();
             hold.remove(this);
-            state = State.RUNNING;
             ran = true;
-            heavy = true;
-            usedKb += memoryKb * (settings.number("domain.run_mem_factor", 1) - 1);
+            usedKb += runKb();
+            onCores();
+            server.run(ticket.id());
+        }
+
+        /** What running takes beyond being held. */
+        double runKb() {
+            return ticket.memoryKb() * (settings.number("domain.run_mem_factor", 1) - 1);
+        }
+
+        void onCores() {
+            advanceGiven();
+            state = State.RUNNING;
             startedAt = given;
             onCores++;
-            server.run(ticket.id());
         }
 
         void leaveCores() {
@@ -376,10 +383,6 @@
             if (customer != null && !overShare) {
                 customer.saved++;
             }
-            if (remembered.get(ticket.id()) == this) {
-                unremember();
-                server.forget(ticket.id());
-            }
             over();
         }
 
@@ -392,12 +395,10 @@
             server.fail(ticket.id());
             if (state == State.CALLING) {
                 callGivenUp();
-            } else if (state == State.RUNNING) {
-                if (canStop) {
-                    server.stop(ticket.id());
-                }
-            } else {
+            } else if (state != State.RUNNING) {
                 over();
+            } else if (canStop) {
+                server.stop(ticket.id());
             }
         }
 
@@ -421,7 +422,10 @@
             waitsToCall.remove(this);
             state = State.OVER;
             open.remove(number);
-            usedKb -= memoryKb * (heavy ? settings.number("domain.run_mem_factor", 1) : 1);
+            if (!ran && unremember()) {
+                server.forget(ticket.id());
+            }
+            usedKb -= ticket.memoryKb() + (ran ? runKb() : 0);
             countOut();
             server.over(ticket.id());
         }
@@ -484,7 +488,7 @@
             cut = false;
         }
 
-        /** The limit comes down once for each call: past TARGET while it is out, or when it ends as a drop. */
+        /** The limit comes down once a call: past TARGET while it is out, or when it ends as a drop. */
         void cut() {
             if (!cut && target(track) != null) {
                 cut = true;
@@ -519,16 +523,13 @@
                 if (!anotherCallLikely()) {
                     countOut();
                 }
-                advanceGiven();
-                state = State.RUNNING;
-                startedAt = given;
-                onCores++;
+                onCores();
                 return;
             }
             cut();
             state = State.WAITS_TO_CALL;
             if (outcome == Outcome.TIMED_OUT) {
-                lingers();
+                callGivenUp();
                 fail();
                 return;
             }
@@ -542,21 +543,13 @@
                     }
                 });
             } else if (track.says.skipWorth() > 0) {
-                skipCall();
+                server.skipCall(ticket.id());
+                onCores();
             } else {
                 fail();
             }
         }
 
-        void skipCall() {
-            waitsToCall.remove(this);
-            server.skipCall(ticket.id());
-            advanceGiven();
-            state = State.RUNNING;
-            startedAt = given;
-            onCores++;
-        }
-
         private boolean anotherCallLikely() {
             double ended = track.endedAt[Math.min(calls, 7) - 1];
             if (ended > MEMORY_OF) {
@@ -570,26 +563,16 @@
 
         /** Rule 4: a call that was given up stays in the hands of what lies below for a while. */
         private void callGivenUp() {
-            lingers();
-            state = State.WAITS_TO_CALL;
-        }
-
-        private void lingers() {
             alarms.in(settings.span("domain.linger_ns"), () -> callsInHand--);
+            state = State.WAITS_TO_CALL;
         }
 
         @Override
         public void left() {
             answered = true;
-            if (state == State.RUNNING) {
-                if (canStop) {
-                    server.stop(ticket.id());
-                }
-            } else if (state != State.CALLING && state != State.WAITS_TO_CALL) {
-                if (!ran && remembered.get(ticket.id()) == this) {
-                    unremember();
-                    server.forget(ticket.id());
-                }
+            if (state == State.RUNNING && canStop) {
+                server.stop(ticket.id());
+            } else if (!ran) {
                 over();
             }
         }
@@ -617,11 +600,11 @@
         Moment now = server.now();
         double ahead = 0;
         PriorityQueue<Held> soFar = new PriorityQueue<>(
-                Comparator.comparingDouble(Held::worth).thenComparing(Comparator.comparingLong((Held h) -> -h.number)));
+                Comparator.comparingDouble(Held::worth).thenComparingLong(held -> -held.number));
         List<Held> gone = new ArrayList<>();
         double running = onCores * meanCost() / 2;
-        // A free core always tries, unless tickets wait to call already: an estimate of cost that has gone wrong
-        // could otherwise never be put right.
+        // A free core always tries, unless tickets wait to call already: an estimate of cost that has gone
+        // wrong could otherwise never be put right.
         double free = cores - onCores;
         for (Held held : hold) {
             if (free-- >= 1 && (!held.track.says.calls() || waitsToCall.isEmpty())) {
@@ -652,8 +635,7 @@
         double room = Math.min(cores * BUSY / wanting, Math.floor(crowdCeiling()));
         while (!hold.isEmpty() && onCores < room) {
             Held next = hold.first();
-            double more = next.memoryKb * (settings.number("domain.run_mem_factor", 1) - 1);
-            if (usedKb + more > memory * SAFE) {
+            if (usedKb + next.runKb() > memory * SAFE) {
                 break;
             }
             next.run();
@@ -695,8 +677,8 @@
     }
 
     /**
-     * The told share is what a shared dependency survives; it slows down long before. So the calls in hand that
-     * are allowed shrink below the share, to one at the least, while calls take over three calm medians.
+     * The told share is what a shared dependency survives; it slows down long before. So the calls in hand
+     * that are allowed shrink below the share, to one at the least, while calls take over three calm medians.
      */
     private void feelCrowdBelow(Span took, Histogram calm) {
         boolean crowded = calm.weight() >= ENOUGH && took.seconds() > 3 * calm.median();
@@ -709,7 +691,7 @@
         return callsInHand > 0 && latestCalls.weight() > 0 ? Span.ofSeconds(latestCalls.median()) : step;
     }
 
-    /** TARGET: half the agreed time or three calm medians, whichever is more; none before there is a median. */
+    /** TARGET: half the agreed time or three calm medians, whichever is more; none before a median. */
     private static Span target(TrackBook track) {
         if (track.calmCalls.weight() < ENOUGH) {
             return null;
--- a/src/main/java/lupinwood/sim/Drill.java
+++ b/src/main/java/lupinwood/sim/Drill.java
@@ -71,7 +71,7 @@
             }
             int got = in.readNBytes(frame, 0, (int) length);
             if (got < length) {
-                throw new MalformedFrame("the input ended " + (length - got) + " bytes short of a whole batch");
+                throw new MalformedFrame("the input ended " + (length - got) + " bytes short of a batch");
             }
             ByteBuffer answer = batch(ByteBuffer.wrap(frame, 0, (int) length));
             out.write(answer.array(), 0, answer.limit());
@@ -211,8 +211,9 @@
                 read.put(names.get(i), value);
             }
         }
-        return new Gauges(read.getOrDefault("core_use", Double.NaN), read.getOrDefault("on_cores", Double.NaN),
-                read.getOrDefault("heap_share", Double.NaN), read.getOrDefault("links", Double.NaN));
+        double none = Double.NaN;
+        return new Gauges(read.getOrDefault("core_use", none), read.getOrDefault("on_cores", none),
+                read.getOrDefault("heap_share", none), read.getOrDefault("links", none));
     }
 
     private static Outcome outcome(int code) {
--- a/src/main/java/lupinwood/sim/Fields.java
+++ b/src/main/java/lupinwood/sim/Fields.java
@@ -34,7 +34,7 @@
     String text() throws MalformedFrame {
         long length = u32();
         if (length > bytes.remaining()) {
-            throw new MalformedFrame("a text of " + length + " bytes where " + bytes.remaining() + " are left");
+            throw new MalformedFrame("a text of " + length + " bytes, " + bytes.remaining() + " are left");
         }
         byte[] text = new byte[(int) length];
         bytes.get(text);
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -100,8 +100,8 @@
 
     @Test
     void aColdMachineRunsFewer() {
-        machine.set("domain.cold=true rules.cold_share=0.2 rules.ramp_time_ns=10000000000 rules.fall_multiple=1.1")
-                .start();
+        machine.set("domain.cold=true rules.cold_share=0.2 rules.ramp_time_ns=10000000000")
+                .set("rules.fall_multiple=1.1").start();
         for (int i = 0; i < 3; i++) {
             machine.arrive(Machine.LOCAL);
         }
@@ -115,8 +115,8 @@
 
     @Test
     void aMachineThoughtTooSlowStillTriesOnAFreeCore() {
-        machine.set("domain.cold=true rules.cold_share=0.01 rules.ramp_time_ns=10000000000 rules.fall_multiple=9")
-                .start();
+        machine.set("domain.cold=true rules.cold_share=0.01 rules.ramp_time_ns=10000000000")
+                .set("rules.fall_multiple=9").start();
         for (int i = 0; i < 3; i++) {
             machine.arrive(Machine.LOCAL);
         }
@@ -225,7 +225,8 @@
 
     @Test
     void oneCustomersBurstGivesWayToTheOthers() {
-        machine.set("customers.count=2 customers.0.quota_rps=1 customers.1.quota_rps=10 over_share_worth=0.05").start();
+        machine.set("customers.count=2 customers.0.quota_rps=1 customers.1.quota_rps=10")
+                .set("over_share_worth=0.05").start();
         for (int i = 0; i < 22; i++) {
             machine.arrive(Machine.PURE, 0, 1, 0);
         }
