--- a/src/test/java/lupinwood/Machine.java
+++ b/src/test/java/lupinwood/Machine.java
@@ -30,7 +30,8 @@
     /** Two cores, four tracks (pure, receipted and effectful that call, and one that never does). */
     Machine() {
         set("domain.cpus=2 domain.memory_kb=100000 domain.run_mem_factor=4 domain.entry_kb=1"
-                + " domain.below=one_for_all domain.calls_out=2 domain.class_calls=true,true,true,false domain.linger_ns=200000000"
+                + " domain.below=one_for_all domain.calls_out=2"
+                + " domain.class_calls=true,true,true,false domain.linger_ns=200000000"
                 + " domain.stop_mode=off domain.advert=off step_ns=1000000 rules.fall_multiple=5"
                 + " rules.fall_ns=2000000000 rules.drain_grace_ns=1000000000 services.count=4"
                 + " bounds.max_retry_after_ns=1000000000");
