--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -603,11 +603,15 @@
                 Comparator.comparingDouble(Held::worth).thenComparingLong(held -> -held.number));
         List<Held> gone = new ArrayList<>();
         double running = onCores * meanCost() / 2;
-        // A free core always tries, unless tickets wait to call already: an estimate of cost that has gone
-        // wrong could otherwise never be put right.
+        // A free core always tries what is not old, unless tickets wait to call already: an estimate of cost
+        // that has gone wrong could otherwise never be put right. What was read too late leaves the cores to
+        // reading, or a node once behind with its reading would stay so.
         double free = cores - onCores;
         for (Held held : hold) {
-            if (free-- >= 1 && (!held.track.says.calls() || waitsToCall.isEmpty())) {
+            double left = held.due.since(now).seconds();
+            double whole = held.due.since(held.reached).seconds();
+            if (free-- >= 1 && left >= Math.min(held.cost(), whole / 2)
+                    && (!held.track.says.calls() || waitsToCall.isEmpty())) {
                 continue;
             }
             soFar.add(held);
@@ -617,8 +621,6 @@
                 long before = waitsToCall.stream().filter(other -> other.gain() >= held.gain()).count();
                 needs += callTime().seconds() * (1 + before / callsAllowed);
             }
-            double left = held.due.since(now).seconds();
-            double whole = held.due.since(held.reached).seconds();
             boolean fresh = now.since(held.reached).seconds() < whole * 0.1;
             if (needs > (fresh ? left * ROOMY : left)) {
                 Held least = soFar.poll();
