--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -378,7 +378,8 @@
                 return;
             }
             server.log("bounce " + ticket.id().number() + ": " + why);
-            server.bounce(ticket.id(), false, comeBackAfter.min(retryAfterMost()));
+            // What is worth little here is worth little anywhere, and each node that reads it pays for that.
+            server.bounce(ticket.id(), overShare, comeBackAfter.min(retryAfterMost()));
             answered = true;
             if (customer != null && !overShare) {
                 customer.saved++;
