--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -34,8 +34,8 @@
     private static final double EASY = 0.15;
     /** Before anything was measured, a ticket is held to cost this part of its agreed time. */
     private static final double FIRST_GUESS = 0.1;
-    /** The seconds of its share that a customer can save up. */
-    private static final double SAVED_UP = 2;
+    /** The seconds of its share that a customer can save up, and over which what it sends is reckoned. */
+    private static final double SAVED_UP = 3;
 
     private enum State { HELD, RUNNING, WAITS_TO_CALL, CALLING, REUSING, OVER }
 
@@ -63,6 +63,8 @@
     private final class CustomerBook {
         final double rate;
         double saved;
+        double lately;
+        double usual = 1;
         Moment seen = born;
 
         CustomerBook(int i) {
@@ -71,11 +73,22 @@
             saved = rate;
         }
 
-        /** Whether one more ticket stays within the share; if so it is taken off. */
+        /** What came lately, as a multiple of the share; brought up to now, with so many more. */
+        double crowding(int more) {
+            double passed = server.now().since(seen).seconds();
+            lately = lately * Math.exp(-passed / SAVED_UP) + more;
+            saved = Math.min(rate * SAVED_UP * usual, saved + rate * usual * passed);
+            seen = server.now();
+            return lately / Math.max(1e-9, rate * SAVED_UP);
+        }
+
+        /**
+         * Whether one more ticket stays within the share; if so it is taken off. A node that callers favour gets
+         * more of every customer, so the share grows with what the middle one of them sends here.
+         */
         boolean spend() {
-            Moment now = server.now();
-            saved = Math.min(rate * SAVED_UP, saved + rate * now.since(seen).seconds());
-            seen = now;
+            usual = Math.max(1, customers.stream().mapToDouble(book -> book.crowding(book == this ? 1 : 0)).sorted()
+                    .skip((customers.size() - 1) / 2).findFirst().orElse(1));
             if (saved < 1) {
                 return false;
             }
