--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -391,9 +391,8 @@
                 return;
             }
             server.log("bounce " + ticket.id().number() + ": " + why);
-            // What a burst sends is worth little anywhere, and each node that reads it pays for that.
-            boolean burst = overShare && customer.crowding(0) > 2 * customer.usual;
-            server.bounce(ticket.id(), burst, comeBackAfter.min(retryAfterMost()));
+            // What is worth little here is worth little anywhere, and each node that reads it pays for that.
+            server.bounce(ticket.id(), overShare, comeBackAfter.min(retryAfterMost()));
             answered = true;
             if (customer != null && !overShare) {
                 customer.saved++;
