--- /dev/null
+++ b/src/test/java/lupinwood/DrillTest.java
@@ -0,0 +1,115 @@
+package lupinwood;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.HexFormat;
+import lupinwood.sim.Drill;
+import lupinwood.sim.MalformedFrame;
+import org.junit.jupiter.api.Test;
+
+final class DrillTest {
+    private static final String SETTINGS = "domain.cpus=1\nservices.count=1\nservices.0.effect=pure\n"
+            + "services.0.aim_ns=1000000000\nservices.0.give_up_ns=2000000000\n"
+            + "bounds.max_retry_after_ns=1000000000\nrules.fall_ns=2000000000\n"
+            + "something.unknown=1\nno value at all";
+    /** Code 17: instance, ticket, track, customer; all after that left off. */
+    private static final String TICKET = "11 0000000b %04x %08x 00 00000000";
+
+    @Test
+    void anEmptyBatchGetsAnEmptyReply() throws IOException {
+        assertThat(play("")).isEqualTo("00000004 00000000\n");
+    }
+
+    @Test
+    void aTicketWithItsLastFieldsLeftOffIsRunAndUnknownEventsAreSkipped() throws IOException {
+        assertThat(play(start(3), "63 00000002 ffff " + String.format(TICKET, 3, 7))).isEqualTo(
+                """
+                00000020 00000002 5e 00000004 0003 01 01 51 0000000e 0003 000000000bebc200 00000000
+                0000000f 00000001 56 00000006 0003 00000007
+                """);
+    }
+
+    @Test
+    void aNodeKilledAndStartedAnewInOneBatchKnowsNothingOfItsFormerLife() throws IOException {
+        String ended = "12 00000010 0003 00000007 0000 0000000000000000";
+        String played = play(start(3) + String.format(TICKET, 3, 7), "18 00000002 0003 " + start(3) + ended);
+        assertThat(played.split("\n")[1]).isEqualTo(
+                "00000020 00000002 5e 00000004 0003 01 01 51 0000000e 0003 000000000cdfe600 00000000");
+    }
+
+    @Test
+    void aNodeThatThrowsIsReportedAndTheOthersGoOn() throws IOException {
+        String badTrack = "11 0000000b 0004 00000008 09 00000000";
+        String played = play(start(3) + start(4), badTrack + String.format(TICKET, 3, 7));
+        assertThat(played.split("\n")[1]).contains(" 5b ").endsWith("56 00000006 0003 00000007");
+    }
+
+    @Test
+    void whatCannotBeAFrameEndsThePlayWithAPlainMessage() {
+        assertThatThrownBy(() -> play("11 000000ff 0003")).isInstanceOf(MalformedFrame.class)
+                .hasMessage("a record of 255 bytes runs past the end of its batch");
+        assertThatThrownBy(() -> play("11 00")).isInstanceOf(MalformedFrame.class)
+                .hasMessage("a record's header runs past the end of its batch");
+        assertThatThrownBy(() -> raw("00000020 00000000")).isInstanceOf(MalformedFrame.class)
+                .hasMessage("the input ended 28 bytes short of a batch");
+        assertThatThrownBy(() -> raw("00000002 0000")).isInstanceOf(MalformedFrame.class)
+                .hasMessage("a batch cannot be 2 bytes long");
+    }
+
+    private static String start(int instance) {
+        return String.format("10 %08x %04x 0000000000000001 %08x %s ", 14 + SETTINGS.length(), instance,
+                SETTINGS.length(), HexFormat.of().formatHex(SETTINGS.getBytes()));
+    }
+
+    /** Plays batches a sixtieth of a second apart; a reply a line, its records' fields apart. */
+    private static String play(String... batches) throws IOException {
+        StringBuilder input = new StringBuilder();
+        for (int i = 0; i < batches.length; i++) {
+            String records = batches[i].replace(" ", "");
+            long clock = 100_000_000L + i * 16_000_000L;
+            input.append(String.format("%08x%016x%s", 8 + records.length() / 2, clock, records));
+        }
+        return raw(input.toString());
+    }
+
+    private static String raw(String input) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new Drill(Brain::new).play(
+                new ByteArrayInputStream(HexFormat.of().parseHex(input.replace(" ", ""))), out);
+        ByteBuffer replies = ByteBuffer.wrap(out.toByteArray());
+        StringBuilder text = new StringBuilder();
+        while (replies.hasRemaining()) {
+            text.append(String.format("%08x", replies.getInt()));
+            int records = replies.getInt();
+            text.append(String.format(" %08x", records));
+            for (int i = 0; i < records; i++) {
+                text.append(record(replies));
+            }
+            text.append("\n");
+        }
+        return text.toString();
+    }
+
+    private static String record(ByteBuffer replies) {
+        int code = replies.get();
+        int length = replies.getInt();
+        int instance = replies.getShort();
+        StringBuilder text = new StringBuilder(String.format(" %02x %08x %04x", code, length, instance));
+        int[] sizes = switch (code) {
+            case 0x51 -> new int[] {8, 4};
+            case 0x5e -> new int[] {1, 1};
+            default -> new int[] {length - 2};
+        };
+        for (int size : sizes) {
+            byte[] field = new byte[size];
+            replies.get(field);
+            text.append(' ').append(HexFormat.of().formatHex(field));
+        }
+        return text.toString();
+    }
+}
