--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -26,8 +26,6 @@
     private static final double ENOUGH = 6;
     /** The part of a hard ceiling (memory, crowd) that is used; the rest is for what comes in between. */
     private static final double SAFE = 0.85;
-    /** Tickets wanting a core for each core: enough to keep all busy, too few to make each slow. */
-    private static final double BUSY = 1.3;
     /** The part of its time to the agreed time that a new arrival may be reckoned to need. */
     private static final double ROOMY = 0.85;
     /** The part of their agreed time that tickets may wait before callers are asked to send less. */
@@ -648,7 +646,8 @@
     }
 
     private void startRuns() {
-        double room = Math.min(cores * BUSY / wanting, Math.floor(crowdCeiling()));
+        // One for each core, and where runs wait for a disk, enough to cover their waits and the chance in them.
+        double room = Math.min(cores * (2 / wanting - 1), Math.floor(crowdCeiling()));
         while (!hold.isEmpty() && onCores < room) {
             Held next = hold.first();
             if (usedKb + next.runKb() > memory * SAFE) {
