--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -33,7 +33,7 @@
     /** Before anything was measured, a ticket is held to cost this part of its agreed time. */
     private static final double FIRST_GUESS = 0.1;
     /** The seconds of its share that a customer can save up, and over which what it sends is reckoned. */
-    private static final double SAVED_UP = 3;
+    private static final double SAVED_UP = 6;
 
     private enum State { HELD, RUNNING, WAITS_TO_CALL, CALLING, REUSING, OVER }
 
