--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -1,6 +1,7 @@
 package lupinwood;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -51,6 +52,11 @@
         double asked;
         double satisfied;
 
+        /** How many calls a ticket that calls makes, on average. */
+        double callsEach() {
+            return reached[0] > 0 ? Arrays.stream(reached).sum() / reached[0] : 1;
+        }
+
         TrackBook(Track says) {
             this.says = says;
             firstCost = says.agreed().seconds() * FIRST_GUESS;
@@ -631,7 +637,7 @@
             double needs = (running + ahead) / cores + held.cost();
             if (held.track.says.calls() && waitsToCall.size() > 0) {
                 long before = waitsToCall.stream().filter(other -> other.gain() >= held.gain()).count();
-                needs += callTime().seconds() * (1 + before / callsAllowed);
+                needs += callTime().seconds() * held.track.callsEach() * (1 + before / callsAllowed);
             }
             boolean fresh = now.since(held.reached).seconds() < whole * 0.1;
             if (needs > (fresh ? left * ROOMY : left)) {
