--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -395,8 +395,10 @@
                 return;
             }
             server.log("bounce " + ticket.id().number() + ": " + why);
-            // What is worth little here is worth little anywhere, and each node that reads it pays for that.
-            server.bounce(ticket.id(), overShare, comeBackAfter.min(retryAfterMost()));
+            // What is past its share, or too late for its own work, is worth little on any node, and each one
+            // that reads it pays for that.
+            boolean worthless = overShare || due.since(server.now()).seconds() < cost();
+            server.bounce(ticket.id(), worthless, comeBackAfter.min(retryAfterMost()));
             answered = true;
             if (customer != null && !overShare) {
                 customer.saved++;
