--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -121,6 +121,7 @@
     private final TreeSet<Held> hold = new TreeSet<>(Held.BY_TIME);
     private final TreeSet<Held> waitsToCall = new TreeSet<>(Held.BY_TIME);
     private double askedCredit;
+    private int judged;
     private TrackBook worst;
     private final Map<TicketId, Held> remembered = new HashMap<>();
     /** All that is owed an answer or still takes memory, by arrival. */
@@ -215,17 +216,16 @@
     }
 
     private void judgeTracks() {
-        double asked = 0;
         askedCredit = 0;
         for (TrackBook track : tracks) {
-            asked += track.asked;
             askedCredit += track.asked * track.says.credit();
             boolean worse = worst == null || track.satisfied * worst.asked < worst.satisfied * track.asked;
             if (track.asked > 0 && worse) {
                 worst = track;
             }
         }
-        if (asked > MEMORY_OF * 8) {
+        if (++judged > MEMORY_OF * 4) {
+            judged = 0;
             for (TrackBook track : tracks) {
                 track.asked /= 2;
                 track.satisfied /= 2;
@@ -314,6 +314,12 @@
             return gain * (overShare ? settings.number("over_share_worth", 1) : 1);
         }
 
+        /** Whether it came too late for its work here, and not just because its work is large for this machine. */
+        boolean tooOld() {
+            double left = due.since(server.now()).seconds();
+            return left < Math.min(cost(), due.since(reached).seconds() / 2);
+        }
+
         double worth() {
             return gain() / cost();
         }
@@ -395,9 +401,8 @@
                 return;
             }
             server.log("bounce " + ticket.id().number() + ": " + why);
-            // What is past its share, or too late for its own work, is worth little on any node, and each one
-            // that reads it pays for that.
-            boolean worthless = overShare || due.since(server.now()).seconds() < cost();
+            // What is past its share, or too old, is worth little on any node, and each that reads it pays for it.
+            boolean worthless = overShare || tooOld();
             server.bounce(ticket.id(), worthless, comeBackAfter.min(retryAfterMost()));
             answered = true;
             if (customer != null && !overShare) {
@@ -628,10 +633,7 @@
         // reading, or a node once behind with its reading would stay so.
         double free = cores - onCores;
         for (Held held : hold) {
-            double left = held.due.since(now).seconds();
-            double whole = held.due.since(held.reached).seconds();
-            if (free-- >= 1 && left >= Math.min(held.cost(), whole / 2)
-                    && (!held.track.says.calls() || waitsToCall.isEmpty())) {
+            if (free-- >= 1 && !held.tooOld() && (!held.track.says.calls() || waitsToCall.isEmpty())) {
                 continue;
             }
             soFar.add(held);
@@ -641,6 +643,8 @@
                 long before = waitsToCall.stream().filter(other -> other.gain() >= held.gain()).count();
                 needs += callTime().seconds() * held.track.callsEach() * (1 + before / callsAllowed);
             }
+            double left = held.due.since(now).seconds();
+            double whole = held.due.since(held.reached).seconds();
             boolean fresh = now.since(held.reached).seconds() < whole * 0.1;
             if (needs > (fresh ? left * ROOMY : left)) {
                 Held least = soFar.poll();
