--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -142,7 +142,9 @@
     private double wanting = 1;
     /** The latest calls, fast to follow a change; unlike the calm median it takes in every one. */
     private final Histogram latestCalls = new Histogram(MEMORY_OF / 4);
-    private final Histogram pace = new Histogram(MEMORY_OF);
+    /** What was hinted, and what it cost; their means make the price of a hint here. */
+    private final Histogram hints = new Histogram(MEMORY_OF);
+    private final Histogram hintedCost = new Histogram(MEMORY_OF);
     private double advised = -1;
     /** How far through their time to the agreed time the latest tickets were when they were read. */
     private double unread;
@@ -302,7 +304,7 @@
         double cost() {
             double hint = ticket.work().seconds();
             if (hint > 0) {
-                return hint * (pace.weight() >= ENOUGH ? pace.mean() : 1 / speedNow());
+                return hint * (hints.weight() >= ENOUGH ? hintedCost.mean() / hints.mean() : 1 / speedNow());
             }
             return track.cost.weight() >= ENOUGH ? track.cost.mean() : track.firstCost / speedNow();
         }
@@ -476,7 +478,8 @@
             if (outcome == Outcome.OK && wasRunning) {
                 track.cost.add(got);
                 if (ticket.work().isPositive()) {
-                    pace.add(got / ticket.work().seconds());
+                    hints.add(ticket.work().seconds());
+                    hintedCost.add(got);
                 }
             }
             failed |= outcome != Outcome.OK;
