--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -41,7 +42,6 @@
     /** What the settings say of a track, and what was measured of it. */
     private static final class TrackBook {
         final Track says;
-        final double firstCost;
         final Histogram cost = new Histogram(MEMORY_OF);
         final Histogram calmCalls = new Histogram(MEMORY_OF);
         /** How many tickets came to their first, second, ... call, how many ended it; halved with time. */
@@ -52,6 +52,10 @@
         double asked;
         double satisfied;
 
+        double costNow(double speed) {
+            return cost.weight() >= ENOUGH ? cost.mean() : says.agreed().seconds() * FIRST_GUESS / speed;
+        }
+
         /** How many calls a ticket that calls makes, on average. */
         double callsEach() {
             return reached[0] > 0 ? Arrays.stream(reached).sum() / reached[0] : 1;
@@ -59,7 +63,6 @@
 
         TrackBook(Track says) {
             this.says = says;
-            firstCost = says.agreed().seconds() * FIRST_GUESS;
         }
     }
 
@@ -87,12 +90,12 @@
         }
 
         /**
-         * Whether one more ticket stays within the share; if so it is taken off. A node that callers favour gets
-         * more of every customer, so the share grows with what the middle one of them sends here.
+         * Whether one more ticket stays within the share; if so it is taken off. A node that callers favour
+         * gets more of every customer, so the share grows with what the middle one of them sends here.
          */
         boolean spend() {
-            usual = Math.max(1, customers.stream().mapToDouble(book -> book.crowding(book == this ? 1 : 0)).sorted()
-                    .skip((customers.size() - 1) / 2).findFirst().orElse(1));
+            usual = Math.max(1, customers.stream().mapToDouble(book -> book.crowding(book == this ? 1 : 0))
+                    .sorted().skip((customers.size() - 1) / 2).findFirst().orElse(1));
             if (saved < 1) {
                 return false;
             }
@@ -208,7 +211,7 @@
             if (held.track.says.effect() == Effect.RECEIPTED) {
                 held.remember();
             }
-            held.countIn();
+            held.countIn(true);
             hold.add(held);
         }
         if (held.state != State.OVER) {
@@ -243,13 +246,10 @@
         if (held.overShare) {
             return false;
         }
-        for (Held other : hold.descendingSet()) {
-            if (other.overShare && other.counted) {
-                other.bounce("over its customer's share", Span.ofSeconds(meanCost()));
-                return true;
-            }
-        }
-        return false;
+        Optional<Held> beyond =
+                hold.descendingSet().stream().filter(h -> h.overShare && h.counted).findFirst();
+        beyond.ifPresent(h -> h.bounce("over its customer's share", Span.ofSeconds(meanCost())));
+        return beyond.isPresent();
     }
 
     /** Rule 3: nothing that came over the grace after the notice is run; half of it is kept as a margin. */
@@ -306,7 +306,7 @@
             if (hint > 0) {
                 return hint * (hints.weight() >= ENOUGH ? hintedCost.mean() / hints.mean() : 1 / speedNow());
             }
-            return track.cost.weight() >= ENOUGH ? track.cost.mean() : track.firstCost / speedNow();
+            return track.costNow(speedNow());
         }
 
         /** What satisfying this one adds to the goal: its credit, and more while its track is worst. */
@@ -316,7 +316,7 @@
             return gain * (overShare ? settings.number("over_share_worth", 1) : 1);
         }
 
-        /** Whether it came too late for its work here, and not just because its work is large for this machine. */
+        /** Whether it came too late for its work here, and not just because its work is large. */
         boolean tooOld() {
             double left = due.since(server.now()).seconds();
             return left < Math.min(cost(), due.since(reached).seconds() / 2);
@@ -355,17 +355,10 @@
             return known;
         }
 
-        void countIn() {
-            if (track.says.calls() && !counted) {
-                counted = true;
-                count++;
-            }
-        }
-
-        void countOut() {
-            if (counted) {
-                counted = false;
-                count--;
+        void countIn(boolean in) {
+            if (counted != in && track.says.calls()) {
+                counted = in;
+                count += in ? 1 : -1;
             }
         }
 
@@ -403,7 +396,7 @@
                 return;
             }
             server.log("bounce " + ticket.id().number() + ": " + why);
-            // What is past its share, or too old, is worth little on any node, and each that reads it pays for it.
+            // What is past its share, or too old, is worth little anywhere, and each node that reads it pays.
             boolean worthless = overShare || tooOld();
             server.bounce(ticket.id(), worthless, comeBackAfter.min(retryAfterMost()));
             answered = true;
@@ -453,7 +446,7 @@
                 server.forget(ticket.id());
             }
             usedKb -= ticket.memoryKb() + (ran ? runKb() : 0);
-            countOut();
+            countIn(false);
             server.over(ticket.id());
         }
 
@@ -491,7 +484,7 @@
         public void needsCall() {
             leaveCores();
             state = State.WAITS_TO_CALL;
-            countIn();
+            countIn(true);
             track.reached[Math.min(calls, 7)]++;
             waitsToCall.add(this);
         }
@@ -549,7 +542,7 @@
                 calls++;
                 triesOfCall = 0;
                 if (!anotherCallLikely()) {
-                    countOut();
+                    countIn(false);
                 }
                 onCores();
                 return;
@@ -622,9 +615,6 @@
      * met, the ticket among those gone through that earns least for its cost makes room.
      */
     private void turnAway() {
-        if (hold.isEmpty()) {
-            return;
-        }
         Moment now = server.now();
         double ahead = 0;
         PriorityQueue<Held> soFar = new PriorityQueue<>(
@@ -661,7 +651,7 @@
     }
 
     private void startRuns() {
-        // One for each core, and where runs wait for a disk, enough to cover their waits and the chance in them.
+        // One for each core, and where runs wait for a disk, enough to cover their waits.
         double room = Math.min(cores * (2 / wanting - 1), Math.floor(crowdCeiling()));
         while (!hold.isEmpty() && onCores < room) {
             Held next = hold.first();
@@ -740,10 +730,10 @@
         double weight = 0;
         for (TrackBook track : tracks) {
             double share = Math.max(1, track.cost.weight());
-            sum += share * (track.cost.weight() >= ENOUGH ? track.cost.mean() : track.firstCost / speedNow());
+            sum += share * track.costNow(speedNow());
             weight += share;
         }
-        return weight > 0 ? sum / weight : 0;
+        return weight > 0 ? sum / weight : 1;
     }
 
     private Span retryAfterMost() {
@@ -757,7 +747,7 @@
         leftAt = server.now();
         stopsAt = leftAt.plus(until);
         server.health(false, true);
-        alarms.at(lastCall(), this::endAll);
+        alarms.at(lastCall(), () -> List.copyOf(open.values()).forEach(Held::mustEnd));
         advise();
     }
 
@@ -766,12 +756,6 @@
         return stopsAt.minus(stopsAt.since(leftAt).times(0.05).max(step.times(4)));
     }
 
-    private void endAll() {
-        for (Held held : List.copyOf(open.values())) {
-            held.mustEnd();
-        }
-    }
-
     @Override
     public void wake(Gauges gauges) {
         advanceGiven();
@@ -793,19 +777,11 @@
 
     /** The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold. */
     private double standing() {
-        double work = 0;
-        for (Held held : hold) {
-            work += held.cost();
-        }
-        return work / cores / meanAgreed() + unread;
+        return hold.stream().mapToDouble(Held::cost).sum() / cores / meanAgreed() + unread;
     }
 
     private double meanAgreed() {
-        double sum = 0;
-        for (TrackBook track : tracks) {
-            sum += track.says.agreed().seconds();
-        }
-        return Math.max(1e-9, sum / Math.max(1, tracks.size()));
+        return tracks.stream().mapToDouble(track -> track.says.agreed().seconds()).average().orElse(1);
     }
 
     private void advise() {
