--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -652,7 +652,9 @@
 
     private void startRuns() {
         // One for each core, and where runs wait for a disk, enough to cover their waits.
-        double room = Math.min(cores * (2 / wanting - 1), Math.floor(crowdCeiling()));
+        // Reading shares the cores with what runs: a node behind in its reading runs fewer, to catch up.
+        double behind = Math.max(0.25, 1 - unread);
+        double room = Math.min(cores * (2 / wanting - 1) * behind, Math.floor(crowdCeiling()));
         while (!hold.isEmpty() && onCores < room) {
             Held next = hold.first();
             if (usedKb + next.runKb() > memory * SAFE) {
