--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -398,7 +398,9 @@
             server.log("bounce " + ticket.id().number() + ": " + why);
             // What is past its share, or too old, is worth little anywhere, and each node that reads it pays.
             boolean worthless = overShare || tooOld();
-            server.bounce(ticket.id(), worthless, comeBackAfter.min(retryAfterMost()));
+            // A burst's ticket asks nobody to stay away: its dispatcher carries the other customers too.
+            Span pause = overShare ? Span.ZERO : comeBackAfter.min(retryAfterMost());
+            server.bounce(ticket.id(), worthless, pause);
             answered = true;
             if (customer != null && !overShare) {
                 customer.saved++;
