--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -399,7 +399,8 @@
             // What is past its share, or too old, is worth little anywhere, and each node that reads it pays.
             boolean worthless = overShare || tooOld();
             // A burst's ticket asks nobody to stay away: its dispatcher carries the other customers too.
-            Span pause = overShare ? Span.ZERO : comeBackAfter.min(retryAfterMost());
+            boolean burst = overShare && customer.crowding(0) > 2 * customer.usual;
+            Span pause = burst ? Span.ZERO : comeBackAfter.min(retryAfterMost());
             server.bounce(ticket.id(), worthless, pause);
             answered = true;
             if (customer != null && !overShare) {
