--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -397,7 +397,8 @@
             }
             server.log("bounce " + ticket.id().number() + ": " + why);
             // What is past its share, or too old, is worth little anywhere, and each node that reads it pays.
-            boolean worthless = overShare || tooOld();
+            // Where tickets have had to wait for long, the others are likely to be as crowded.
+            boolean worthless = overShare || tooOld() || floor > mostFloor() / 2;
             // A burst's ticket asks nobody to stay away: its dispatcher carries the other customers too.
             boolean burst = overShare && customer.crowding(0) > 2 * customer.usual;
             Span pause = burst ? Span.ZERO : comeBackAfter.min(retryAfterMost());
@@ -776,7 +777,7 @@
         advise();
         Span pause = settings.span("rules.fall_ns").times(0.05).max(step);
         floor += pause.seconds() * (standing() - EASY);
-        floor = Math.max(0, Math.min(1 - 1.0 / Math.max(1, tracks.size()), floor));
+        floor = Math.max(0, Math.min(mostFloor(), floor));
         alarms.in(pause, this::beat);
     }
 
@@ -785,6 +786,11 @@
         return hold.stream().mapToDouble(Held::cost).sum() / cores / meanAgreed() + unread;
     }
 
+    /** The best-paid band of ranks is always let in. */
+    private double mostFloor() {
+        return 1 - 1.0 / Math.max(1, tracks.size());
+    }
+
     private double meanAgreed() {
         return tracks.stream().mapToDouble(track -> track.says.agreed().seconds()).average().orElse(1);
     }
