Keep a share of calls below one by pauses; four made-up sites break no rule

Guards what all share when each node's part of it is under one call: the mean is kept by a pause after each call.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -116,6 +116,7 @@
     /** The told share of calls in hand; without a shared dependency only the limit binds. */
     private final double toldShare;
     private double callsAllowed;
+    private Moment nextCall;
     private final boolean canStop;
     private final Alarms alarms;
     private long order;
@@ -160,13 +161,14 @@
         alarms = new Alarms(server);
         born = server.now();
         givenAt = born;
+        nextCall = born;
         step = settings.span("step_ns");
         cores = Math.max(1, settings.number("domain.cpus", 1));
         memory = settings.number("domain.memory_kb", 1e12);
         entryKb = settings.number("domain.entry_kb", 0);
         boolean shared = settings.is("domain.below", "one_for_all");
-        toldShare = shared ? Math.max(1, settings.number("domain.calls_out", 1e9)) : 1e9;
-        callsAllowed = toldShare;
+        toldShare = shared ? settings.number("domain.calls_out", 1e9) : 1e9;
+        callsAllowed = Math.max(1, toldShare);
         canStop = settings.is("domain.stop_mode", "discard") || settings.is("domain.stop_mode", "freeze");
         limit = Math.max(20, cores);
         for (int i = 0; i < settings.number("services.count", 0); i++) {
@@ -282,6 +284,7 @@
         double got;
         int calls;
         int callNumber;
+        Moment calledAt;
         int triesOfCall;
         boolean calmCall;
         CustomerBook customer;
@@ -499,6 +502,7 @@
             callNumber++;
             calmCall = count * 2 < limit;
             callsInHand++;
+            calledAt = server.now();
             Span left = useless().since(server.now());
             server.call(ticket.id(), left);
             int thisCall = callNumber;
@@ -530,7 +534,7 @@
             latestCalls.add(took.seconds());
             feelCrowdBelow(took, track.calmCalls);
             if (outcome == Outcome.OK) {
-                callsInHand--;
+                callOutOfHand();
                 Span target = target(track);
                 if (target == null || took.compareTo(target) <= 0) {
                     if (count * 2 >= limit) {
@@ -558,7 +562,7 @@
                 fail();
                 return;
             }
-            callsInHand--;
+            callOutOfHand();
             triesOfCall++;
             boolean mayRepeat = track.says.effect() == Effect.PURE || outcome.provesNeverRan();
             if (mayRepeat && triesOfCall < 3) {
@@ -588,10 +592,19 @@
 
         /** Rule 4: a call that was given up stays in the hands of what lies below for a while. */
         private void callGivenUp() {
-            alarms.in(settings.span("domain.linger_ns"), () -> callsInHand--);
+            alarms.in(settings.span("domain.linger_ns"), this::callOutOfHand);
             state = State.WAITS_TO_CALL;
         }
 
+        /** Rule 4: a share below one is kept by a pause after each call, as long as makes the mean. */
+        private void callOutOfHand() {
+            callsInHand--;
+            if (toldShare < 1) {
+                nextCall = server.now().plus(server.now().since(calledAt).times(1 / toldShare - 1));
+                alarms.at(nextCall, () -> { });
+            }
+        }
+
         @Override
         public void left() {
             answered = true;
@@ -693,7 +706,8 @@
                 waiting.fail();
             }
         }
-        while (!waitsToCall.isEmpty() && callsInHand + 1 <= callsAllowed) {
+        boolean pausing = server.now().isBefore(nextCall);
+        while (!pausing && !waitsToCall.isEmpty() && callsInHand + 1 <= callsAllowed) {
             Held best = waitsToCall.first();
             for (Held waiting : waitsToCall) {
                 best = waiting.gain() > best.gain() ? waiting : best;
@@ -709,7 +723,7 @@
     private void feelCrowdBelow(Span took, Histogram calm) {
         boolean crowded = calm.weight() >= ENOUGH && took.seconds() > 3 * calm.median();
         callsAllowed = crowded && toldShare < 1e9 ? Math.max(1, callsAllowed * 0.9)
-                : Math.min(toldShare, callsAllowed + 1 / callsAllowed);
+                : Math.min(Math.max(1, toldShare), callsAllowed + 1 / callsAllowed);
     }
 
     /** What a call takes just now; while none is out nothing is known, and one is always tried. */
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -207,6 +207,24 @@
                 """);
     }
 
+    @Test
+    void aShareOfCallsBelowOneIsKeptByPauses() {
+        machine.set("domain.calls_out=0.25").start();
+        long first = machine.arrive(Machine.PURE);
+        long second = machine.arrive(Machine.PURE);
+        machine.tell(second, Handle::needsCall);
+        machine.call(first, 100, Outcome.OK);
+        machine.tell(second, handle -> handle.callEnded(Outcome.OK, Span.ofSeconds(0.1)));
+        machine.pass(1000);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 run 1
+                0 run 2
+                0 call 2
+                400 call 1
+                """);
+    }
+
     @Test
     void anEffectfulCallIsRepeatedOnlyWhenItProvablyNeverRan() {
         machine.start();
