--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -797,7 +797,7 @@
 
     /** The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold. */
     private double standing() {
-        return hold.stream().mapToDouble(Held::cost).sum() / cores / meanAgreed() + unread;
+        return hold.stream().filter(held -> !held.overShare).mapToDouble(Held::cost).sum() / cores / meanAgreed() + unread;
     }
 
     /** The best-paid band of ranks is always let in. */
