--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -1,16 +1,6 @@
 package lupinwood;
 
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Locale;
-import java.util.Map;
-import java.util.Optional;
-import java.util.PriorityQueue;
-import java.util.TreeMap;
-import java.util.TreeSet;
+import java.util.*;
 import lupinwood.node.*;
 
 /**
@@ -113,6 +103,7 @@
     private final double entryKb;
     private final Moment born;
     private final Span step;
+    private final Span mostPause;
     /** The told share of calls in hand; without a shared dependency only the limit binds. */
     private final double toldShare;
     private double callsAllowed;
@@ -163,6 +154,7 @@
         givenAt = born;
         nextCall = born;
         step = settings.span("step_ns");
+        mostPause = settings.span("bounds.max_retry_after_ns");
         cores = Math.max(1, settings.number("domain.cpus", 1));
         memory = settings.number("domain.memory_kb", 1e12);
         entryKb = settings.number("domain.entry_kb", 0);
@@ -203,7 +195,7 @@
                 held.fail();
             }
         } else if (leavingFor(held)) {
-            held.bounce("leaving", retryAfterMost());
+            held.bounce("leaving", mostPause);
         } else if (usedKb + entryKb > memory * SAFE) {
             // Rule 4: a receipted ticket that could not be remembered is turned away like any other.
             held.bounce("memory full", Span.ofSeconds(meanCost()));
@@ -404,7 +396,7 @@
             boolean worthless = overShare || tooOld() || floor > mostFloor() / 2;
             // A burst's ticket asks nobody to stay away: its dispatcher carries the other customers too.
             boolean burst = overShare && customer.crowding(0) > 2 * customer.usual;
-            Span pause = burst ? Span.ZERO : comeBackAfter.min(retryAfterMost());
+            Span pause = burst ? Span.ZERO : comeBackAfter.min(mostPause);
             server.bounce(ticket.id(), worthless, pause);
             answered = true;
             if (customer != null && !overShare) {
@@ -441,9 +433,6 @@
         }
 
         void over() {
-            if (state == State.OVER) {
-                return;
-            }
             leaveCores();
             hold.remove(this);
             waitsToCall.remove(this);
@@ -493,7 +482,12 @@
             state = State.WAITS_TO_CALL;
             countIn(true);
             track.reached[Math.min(calls, 7)]++;
-            waitsToCall.add(this);
+            Span target = target(track);
+            if (track.says.skipWorth() > 0 && target != null && callTime().compareTo(target) > 0) {
+                skipOrFail();
+            } else {
+                waitsToCall.add(this);
+            }
         }
 
         void makeCall() {
@@ -504,6 +498,10 @@
             callsInHand++;
             calledAt = server.now();
             Span left = useless().since(server.now());
+            if (track.says.skipWorth() > 0) {
+                Span whole = due.since(server.now());
+                left = whole.minus(Span.ofSeconds(Math.max(0, cost() - got))).max(whole.times(0.5)).max(step);
+            }
             server.call(ticket.id(), left);
             int thisCall = callNumber;
             Span target = target(track);
@@ -559,19 +557,28 @@
             state = State.WAITS_TO_CALL;
             if (outcome == Outcome.TIMED_OUT) {
                 callGivenUp();
-                fail();
+                skipOrFail();
                 return;
             }
             callOutOfHand();
             triesOfCall++;
-            boolean mayRepeat = track.says.effect() == Effect.PURE || outcome.provesNeverRan();
-            if (mayRepeat && triesOfCall < 3) {
+            if (triesOfCall < 3 && (track.says.effect() == Effect.PURE || outcome.provesNeverRan())) {
                 alarms.in(Span.ofSeconds(meanCost() * triesOfCall), () -> {
                     if (state == State.WAITS_TO_CALL && !answered) {
                         waitsToCall.add(this);
                     }
                 });
-            } else if (track.says.skipWorth() > 0) {
+            } else {
+                skipOrFail();
+            }
+        }
+
+        /**
+         * Exception to failing: where the settings pay for an answer without its call, that is given when the
+         * call timed out or failed, in time for it, and at once while calls below take longer than TARGET.
+         */
+        private void skipOrFail() {
+            if (track.says.skipWorth() > 0 && !answered) {
                 server.skipCall(ticket.id());
                 onCores();
             } else {
@@ -632,7 +639,6 @@
      * met, the ticket among those gone through that earns least for its cost makes room.
      */
     private void turnAway() {
-        Moment now = server.now();
         double ahead = 0;
         PriorityQueue<Held> soFar = new PriorityQueue<>(
                 Comparator.comparingDouble(Held::worth).thenComparingLong(held -> -held.number));
@@ -653,9 +659,8 @@
                 long before = waitsToCall.stream().filter(other -> other.gain() >= held.gain()).count();
                 needs += callTime().seconds() * held.track.callsEach() * (1 + before / callsAllowed);
             }
-            double left = held.due.since(now).seconds();
-            double whole = held.due.since(held.reached).seconds();
-            boolean fresh = now.since(held.reached).seconds() < whole * 0.1;
+            double left = held.due.since(server.now()).seconds();
+            boolean fresh = left > held.due.since(held.reached).seconds() * 0.9;
             if (needs > (fresh ? left * ROOMY : left)) {
                 Held least = soFar.poll();
                 ahead -= least.cost();
@@ -703,7 +708,7 @@
                 waitsToCall.remove(waiting);
             } else if (waiting.due.isBefore(soonest)) {
                 waitsToCall.remove(waiting);
-                waiting.fail();
+                waiting.skipOrFail();
             }
         }
         boolean pausing = server.now().isBefore(nextCall);
@@ -756,10 +761,6 @@
         return weight > 0 ? sum / weight : 1;
     }
 
-    private Span retryAfterMost() {
-        return settings.span("bounds.max_retry_after_ns");
-    }
-
     // ---- leaving, waking, advice ----
 
     @Override
@@ -797,7 +798,8 @@
 
     /** The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold. */
     private double standing() {
-        return hold.stream().filter(held -> !held.overShare).mapToDouble(Held::cost).sum() / cores / meanAgreed() + unread;
+        double work = hold.stream().filter(held -> !held.overShare).mapToDouble(Held::cost).sum();
+        return work / cores / meanAgreed() + unread;
     }
 
     /** The best-paid band of ranks is always let in. */
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -225,6 +225,20 @@
                 """);
     }
 
+    @Test
+    void aTimedOutCallIsGoneWithoutWhereTheSettingsPayForThat() {
+        machine.set("domain.class_skip_worth=0.3,0,0,0").start();
+        long ticket = machine.arrive(Machine.PURE);
+        machine.call(ticket, 1000, Outcome.TIMED_OUT);
+        machine.end(ticket);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                0 run 1
+                0 call 1
+                1000 skip the call of 1
+                """);
+    }
+
     @Test
     void anEffectfulCallIsRepeatedOnlyWhenItProvablyNeverRan() {
         machine.start();
