--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -144,6 +144,29 @@
                 """);
     }
 
+    @Test
+    void aTicketLeavesTheCountAfterWhatIsMostLikelyItsLastCallAndComesBackWithAnother() {
+        patient().set("domain.cpus=8 domain.calls_out=40").start();
+        machine.calm(100);
+        long early = machine.arrive(Machine.PURE);
+        machine.call(early, 100, Outcome.OK);
+        for (int i = 0; i < 19; i++) {
+            machine.arrive(Machine.PURE, 0, 1, 0);
+        }
+        machine.trace.clear();
+        machine.tell(early, Handle::needsCall);
+        machine.arrive(Machine.PURE);
+        machine.tell(early, handle -> handle.callEnded(Outcome.OK, Span.ofSeconds(0.1)));
+        machine.arrive(Machine.PURE);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                900 run 17
+                900 call 9
+                900 log bounce 29: count at limit
+                900 bounce 29, come back later
+                """);
+    }
+
     @Test
     void noCutBeforeThereIsAMedian() {
         patient().start();
