--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -321,6 +321,11 @@
             return gain() / cost();
         }
 
+        /** The nearer a ticket is to its last call, the less of what lies below its gain still takes. */
+        double gainEachCall() {
+            return gain() / Math.max(1, track.callsEach() - calls);
+        }
+
         /** Counts this ticket against its customer's share; what goes beyond is worth little. */
         void chargeCustomer() {
             int place = ticket.customer().number();
@@ -713,11 +718,7 @@
         }
         boolean pausing = server.now().isBefore(nextCall);
         while (!pausing && !waitsToCall.isEmpty() && callsInHand + 1 <= callsAllowed) {
-            Held best = waitsToCall.first();
-            for (Held waiting : waitsToCall) {
-                best = waiting.gain() > best.gain() ? waiting : best;
-            }
-            best.makeCall();
+            waitsToCall.stream().max(Comparator.comparingDouble(Held::gainEachCall)).ifPresent(Held::makeCall);
         }
     }
 
