--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -718,7 +718,8 @@
         }
         boolean pausing = server.now().isBefore(nextCall);
         while (!pausing && !waitsToCall.isEmpty() && callsInHand + 1 <= callsAllowed) {
-            waitsToCall.stream().max(Comparator.comparingDouble(Held::gainEachCall)).ifPresent(Held::makeCall);
+            waitsToCall.stream().max(Comparator.comparingDouble(Held::gainEachCall))
+                    .ifPresent(Held::makeCall);
         }
     }
 
