Fold the module without changing what it decides

One guard in bounce in place of two; one pair that enters and leaves the cores; a call's cap in one method; the mean agreed time reckoned once; one way to ask whether the node is leaving; a comment that named the due time wrongly.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -42,6 +42,10 @@
         double asked;
         double satisfied;
 
+        TrackBook(Track says) {
+            this.says = says;
+        }
+
         double costNow(double speed) {
             return cost.weight() >= ENOUGH ? cost.mean() : says.agreed().seconds() * FIRST_GUESS / speed;
         }
@@ -50,10 +54,6 @@
         double callsEach() {
             return reached[0] > 0 ? Arrays.stream(reached).sum() / reached[0] : 1;
         }
-
-        TrackBook(Track says) {
-            this.says = says;
-        }
     }
 
     /** One customer's share of this node in tickets a second, and what it has saved up of it. */
@@ -104,6 +104,7 @@
     private final Moment born;
     private final Span step;
     private final Span mostPause;
+    private final double meanAgreed;
     /** The told share of calls in hand; without a shared dependency only the limit binds. */
     private final double toldShare;
     private double callsAllowed;
@@ -166,6 +167,7 @@
         for (int i = 0; i < settings.number("services.count", 0); i++) {
             tracks.add(new TrackBook(Track.read(settings, i)));
         }
+        meanAgreed = tracks.stream().mapToDouble(track -> track.says.agreed().seconds()).average().orElse(1);
         for (int i = 0; i < settings.number("customers.count", 0); i++) {
             customers.add(new CustomerBook(i));
         }
@@ -248,7 +250,7 @@
 
     /** Rule 3: nothing that came over the grace after the notice is run; half of it is kept as a margin. */
     private boolean leavingFor(Held held) {
-        return leftAt != Moment.NEVER
+        return leaving()
                 && (!held.reached.isBefore(leftAt.plus(settings.span("rules.drain_grace_ns").times(0.5)))
                         || !server.now().isBefore(lastCall()));
     }
@@ -263,7 +265,7 @@
         final TrackBook track;
         final long number;
         final Moment reached;
-        /** The agreed time, or the last moment that earns anything where late answers don't. */
+        /** The agreed time, or the last moment for an answer where that is sooner. */
         final Moment due;
         final Moment lastAnswer;
         State state = State.HELD;
@@ -335,8 +337,14 @@
             }
         }
 
-        Moment useless() {
-            return track.says.lateValue() > 0 ? lastAnswer : due;
+        /** How long a call may take: while it can earn anything, or leaves time to go on without it. */
+        Span callCap() {
+            Span left = due.since(server.now());
+            if (track.says.skipWorth() > 0) {
+                Span rest = Span.ofSeconds(Math.max(0, cost() - got));
+                return left.minus(rest).max(left.times(0.5)).max(step);
+            }
+            return track.says.lateValue() > 0 ? lastAnswer.since(server.now()) : left;
         }
 
         void remember() {
@@ -366,7 +374,7 @@
             hold.remove(this);
             ran = true;
             usedKb += runKb();
-            onCores();
+            enterCores();
             server.run(ticket.id());
         }
 
@@ -375,7 +383,7 @@
             return ticket.memoryKb() * (settings.number("domain.run_mem_factor", 1) - 1);
         }
 
-        void onCores() {
+        void enterCores() {
             advanceGiven();
             state = State.RUNNING;
             startedAt = given;
@@ -387,11 +395,13 @@
                 advanceGiven();
                 got += given - startedAt;
                 onCores--;
+                state = State.WAITS_TO_CALL;
             }
         }
 
         void bounce(String why, Span comeBackAfter) {
-            if (ran) {
+            // Rule 2: what ran, here or as its original, is not turned away.
+            if (ran || state == State.REUSING) {
                 fail();
                 return;
             }
@@ -428,12 +438,8 @@
 
         /** Rule 1: whatever is under way, the answer goes out before the caller leaves. */
         void mustEnd() {
-            if (state != State.OVER && !answered) {
-                if (ran || state == State.REUSING) {
-                    fail();
-                } else {
-                    bounce("never got to run", Span.ZERO);
-                }
+            if (!answered) {
+                bounce("never got to run", Span.ZERO);
             }
         }
 
@@ -463,9 +469,6 @@
                 callGivenUp();
             }
             leaveCores();
-            if (wasRunning) {
-                state = State.WAITS_TO_CALL;
-            }
             if (outcome == Outcome.OK && !answered && !due.isBefore(server.now())) {
                 track.satisfied++;
             }
@@ -484,7 +487,6 @@
         @Override
         public void needsCall() {
             leaveCores();
-            state = State.WAITS_TO_CALL;
             countIn(true);
             track.reached[Math.min(calls, 7)]++;
             Span target = target(track);
@@ -502,15 +504,11 @@
             calmCall = count * 2 < limit;
             callsInHand++;
             calledAt = server.now();
-            Span left = useless().since(server.now());
-            if (track.says.skipWorth() > 0) {
-                Span whole = due.since(server.now());
-                left = whole.minus(Span.ofSeconds(Math.max(0, cost() - got))).max(whole.times(0.5)).max(step);
-            }
-            server.call(ticket.id(), left);
+            Span cap = callCap();
+            server.call(ticket.id(), cap);
             int thisCall = callNumber;
             Span target = target(track);
-            if (target != null && target.compareTo(left) < 0) {
+            if (target != null && target.compareTo(cap) < 0) {
                 alarms.in(target, () -> {
                     if (state == State.CALLING && callNumber == thisCall) {
                         cut();
@@ -555,7 +553,7 @@
                 if (!anotherCallLikely()) {
                     countIn(false);
                 }
-                onCores();
+                enterCores();
                 return;
             }
             cut();
@@ -585,7 +583,7 @@
         private void skipOrFail() {
             if (track.says.skipWorth() > 0 && !answered) {
                 server.skipCall(ticket.id());
-                onCores();
+                enterCores();
             } else {
                 fail();
             }
@@ -774,6 +772,10 @@
         advise();
     }
 
+    private boolean leaving() {
+        return leftAt != Moment.NEVER;
+    }
+
     /** Rule 3: by now, a little before the stop, all that was read is answered. */
     private Moment lastCall() {
         return stopsAt.minus(stopsAt.since(leftAt).times(0.05).max(step.times(4)));
@@ -801,7 +803,7 @@
     /** The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold. */
     private double standing() {
         double work = hold.stream().filter(held -> !held.overShare).mapToDouble(Held::cost).sum();
-        return work / cores / meanAgreed() + unread;
+        return work / cores / meanAgreed + unread;
     }
 
     /** The best-paid band of ranks is always let in. */
@@ -809,15 +811,11 @@
         return 1 - 1.0 / Math.max(1, tracks.size());
     }
 
-    private double meanAgreed() {
-        return tracks.stream().mapToDouble(track -> track.says.agreed().seconds()).average().orElse(1);
-    }
-
     private void advise() {
         double level = switch (settings.text("domain.advert")) {
             case "allowance" -> allowance();
-            case "floor" -> leftAt != Moment.NEVER ? 1 : Math.round(floor * 100) / 100.0;
-            case "weight" -> leftAt != Moment.NEVER ? 0 : 1;
+            case "floor" -> leaving() ? 1 : Math.round(floor * 100) / 100.0;
+            case "weight" -> leaving() ? 0 : 1;
             default -> -1;
         };
         if (level >= 0 && level != advised) {
@@ -828,10 +826,10 @@
 
     /** What can be finished within half the mean agreed time, split among the callers. */
     private double allowance() {
-        if (leftAt != Moment.NEVER) {
+        if (leaving()) {
             return 0;
         }
-        double room = Math.max(cores, cores * meanAgreed() / 2 / Math.max(1e-9, meanCost()));
+        double room = Math.max(cores, cores * meanAgreed / 2 / Math.max(1e-9, meanCost()));
         return Math.round(4 * room / Math.max(1, settings.number("domain.upstreams", 1))) / 4.0;
     }
 }
