--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -26,6 +26,8 @@
     private static final double FIRST_GUESS = 0.1;
     /** The seconds of its share that a customer can save up, and over which what it sends is reckoned. */
     private static final double SAVED_UP = 6;
+    /** The part of the told share of calls that is used whatever calls take. */
+    private static final double LEAST_CALLS = 0.2;
 
     private enum State { HELD, RUNNING, WAITS_TO_CALL, CALLING, REUSING, OVER }
 
@@ -159,9 +161,9 @@
         cores = Math.max(1, settings.number("domain.cpus", 1));
         memory = settings.number("domain.memory_kb", 1e12);
         entryKb = settings.number("domain.entry_kb", 0);
-        boolean shared = settings.is("domain.below", "one_for_all");
-        toldShare = shared ? settings.number("domain.calls_out", 1e9) : 1e9;
-        callsAllowed = Math.max(1, toldShare);
+        toldShare = settings.is("domain.below", "one_for_all")
+                ? Math.max(1e-3, settings.number("domain.calls_out", 1e9)) : 1e9;
+        callsAllowed = toldShare;
         canStop = settings.is("domain.stop_mode", "discard") || settings.is("domain.stop_mode", "freeze");
         limit = Math.max(20, cores);
         for (int i = 0; i < settings.number("services.count", 0); i++) {
@@ -218,20 +220,16 @@
 
     private void judgeTracks() {
         askedCredit = 0;
+        double keep = ++judged % (MEMORY_OF * 4) == 0 ? 0.5 : 1;
         for (TrackBook track : tracks) {
+            track.asked *= keep;
+            track.satisfied *= keep;
             askedCredit += track.asked * track.says.credit();
             boolean worse = worst == null || track.satisfied * worst.asked < worst.satisfied * track.asked;
             if (track.asked > 0 && worse) {
                 worst = track;
             }
         }
-        if (++judged > MEMORY_OF * 4) {
-            judged = 0;
-            for (TrackBook track : tracks) {
-                track.asked /= 2;
-                track.satisfied /= 2;
-            }
-        }
     }
 
     /**
@@ -239,12 +237,9 @@
      * within its customer's share takes the place of a held one beyond it, which is bounced instead.
      */
     private boolean makeRoom(Held held) {
-        if (held.overShare) {
-            return false;
-        }
-        Optional<Held> beyond =
-                hold.descendingSet().stream().filter(h -> h.overShare && h.counted).findFirst();
-        beyond.ifPresent(h -> h.bounce("over its customer's share", Span.ofSeconds(meanCost())));
+        Optional<Held> beyond = held.overShare ? Optional.empty()
+                : hold.descendingSet().stream().filter(h -> h.overShare && h.counted).findFirst();
+        beyond.ifPresent(h -> h.bounce("over its share", Span.ofSeconds(meanCost())));
         return beyond.isPresent();
     }
 
@@ -340,11 +335,12 @@
         /** How long a call may take: while it can earn anything, or leaves time to go on without it. */
         Span callCap() {
             Span left = due.since(server.now());
+            Span cap = track.says.lateValue() > 0 ? lastAnswer.since(server.now()) : left;
             if (track.says.skipWorth() > 0) {
-                Span rest = Span.ofSeconds(Math.max(0, cost() - got));
-                return left.minus(rest).max(left.times(0.5)).max(step);
+                cap = left.minus(Span.ofSeconds(Math.max(0, cost() - got))).max(left.times(0.5)).max(step);
             }
-            return track.says.lateValue() > 0 ? lastAnswer.since(server.now()) : left;
+            Span share = settings.span("domain.calls_over_ns").times(toldShare / 2);
+            return toldShare < 1 ? cap.min(share.minus(settings.span("domain.linger_ns")).max(step)) : cap;
         }
 
         void remember() {
@@ -606,11 +602,16 @@
             state = State.WAITS_TO_CALL;
         }
 
-        /** Rule 4: a share below one is kept by a pause after each call, as long as makes the mean. */
+        /**
+         * Rule 4: less than one call is kept by a pause after each. At half a share below one, with no call
+         * longer than half of what it lets through in the time averaged over, no such time can hold more than
+         * the share, also when all calls turn slow at once.
+         */
         private void callOutOfHand() {
             callsInHand--;
-            if (toldShare < 1) {
-                nextCall = server.now().plus(server.now().since(calledAt).times(1 / toldShare - 1));
+            double pace = toldShare < 1 ? Math.min(callsAllowed, toldShare / 2) : callsAllowed;
+            if (pace < 1) {
+                nextCall = server.now().plus(server.now().since(calledAt).times(1 / pace - 1));
                 alarms.at(nextCall, () -> { });
             }
         }
@@ -705,35 +706,37 @@
     }
 
     private void startCalls() {
-        Moment soonest = server.now().plus(callTime());
+        Moment soonest = (pausing() ? nextCall : server.now()).plus(callTime());
         for (Held waiting : List.copyOf(waitsToCall)) {
-            if (waiting.answered) {
-                waitsToCall.remove(waiting);
-            } else if (waiting.due.isBefore(soonest)) {
+            if (waiting.answered || waiting.due.isBefore(soonest)) {
                 waitsToCall.remove(waiting);
                 waiting.skipOrFail();
             }
         }
-        boolean pausing = server.now().isBefore(nextCall);
-        while (!pausing && !waitsToCall.isEmpty() && callsInHand + 1 <= callsAllowed) {
-            waitsToCall.stream().max(Comparator.comparingDouble(Held::gainEachCall))
-                    .ifPresent(Held::makeCall);
+        while (!pausing() && !waitsToCall.isEmpty() && callsInHand + 1 <= Math.max(1, callsAllowed)) {
+            waitsToCall.stream().max(Comparator.comparing(Held::gainEachCall)).ifPresent(Held::makeCall);
         }
     }
 
     /**
      * The told share is what a shared dependency survives; it slows down long before. So the calls in hand
-     * that are allowed shrink below the share, to one at the least, while calls take over three calm medians.
+     * that are allowed shrink below the share, to a fifth, while calls take over three calm medians.
      */
     private void feelCrowdBelow(Span took, Histogram calm) {
+        double least = toldShare * LEAST_CALLS;
         boolean crowded = calm.weight() >= ENOUGH && took.seconds() > 3 * calm.median();
-        callsAllowed = crowded && toldShare < 1e9 ? Math.max(1, callsAllowed * 0.9)
-                : Math.min(Math.max(1, toldShare), callsAllowed + 1 / callsAllowed);
+        callsAllowed = crowded ? Math.max(least, callsAllowed * 0.9)
+                : Math.min(toldShare, callsAllowed + least * least / callsAllowed);
     }
 
     /** What a call takes just now; while none is out nothing is known, and one is always tried. */
     private Span callTime() {
-        return callsInHand > 0 && latestCalls.weight() > 0 ? Span.ofSeconds(latestCalls.median()) : step;
+        return (callsInHand > 0 || pausing()) && latestCalls.weight() > 0
+                ? Span.ofSeconds(latestCalls.median()) : step;
+    }
+
+    private boolean pausing() {
+        return server.now().isBefore(nextCall);
     }
 
     /** TARGET: half the agreed time or three calm medians, whichever is more; none before a median. */
