--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -16,7 +16,7 @@
     private static final double MEMORY_OF = 32;
     /** No median is trusted before this many figures. */
     private static final double ENOUGH = 6;
-    /** The part of a hard ceiling (memory, crowd) that is used; the rest is for what comes in between. */
+    /** The part of a hard ceiling (memory, crowd) that is used. */
     private static final double SAFE = 0.85;
     /** The part of its time to the agreed time that a new arrival may be reckoned to need. */
     private static final double ROOMY = 0.85;
@@ -48,6 +48,10 @@
             this.says = says;
         }
 
+        double weight() {
+            return Math.max(1, cost.weight());
+        }
+
         double costNow(double speed) {
             return cost.weight() >= ENOUGH ? cost.mean() : says.agreed().seconds() * FIRST_GUESS / speed;
         }
@@ -130,8 +134,9 @@
     private double usedKb;
 
     private double limit;
-    private Moment leftAt = Moment.NEVER;
-    private Moment stopsAt = Moment.NEVER;
+    private boolean leaving;
+    private Moment leftAt;
+    private Moment stopsAt;
 
     /** Seconds of core time given to each running ticket since the start: the clock of all cost. */
     private double given;
@@ -146,8 +151,9 @@
     private double advised = -1;
     /** How far through their time to the agreed time the latest tickets were when they were read. */
     private double unread;
-    /** The rank below which callers are asked to send nothing. */
+    /** The rank below which callers are asked to send nothing; the best-paid band is always let in. */
     private double floor;
+    private final double mostFloor;
 
     public Brain(Server server, long seed, Map<String, String> map) {
         this.server = server;
@@ -169,6 +175,7 @@
         for (int i = 0; i < settings.number("services.count", 0); i++) {
             tracks.add(new TrackBook(Track.read(settings, i)));
         }
+        mostFloor = 1 - 1.0 / Math.max(1, tracks.size());
         meanAgreed = tracks.stream().mapToDouble(track -> track.says.agreed().seconds()).average().orElse(1);
         for (int i = 0; i < settings.number("customers.count", 0); i++) {
             customers.add(new CustomerBook(i));
@@ -192,11 +199,11 @@
         if (held.track.says.effect() == Effect.RECEIPTED && ticket.original() != null
                 && (original == null || original.ran || original.state != State.OVER)) {
             // Rule 2: some try of this ticket ran here, or may yet; it is never run again.
-            if (original != null && !original.failed) {
+            if (original == null || original.failed) {
+                held.fail();
+            } else {
                 held.state = State.REUSING;
                 server.reuse(ticket.id());
-            } else {
-                held.fail();
             }
         } else if (leavingFor(held)) {
             held.bounce("leaving", mostPause);
@@ -245,7 +252,7 @@
 
     /** Rule 3: nothing that came over the grace after the notice is run; half of it is kept as a margin. */
     private boolean leavingFor(Held held) {
-        return leaving()
+        return leaving
                 && (!held.reached.isBefore(leftAt.plus(settings.span("rules.drain_grace_ns").times(0.5)))
                         || !server.now().isBefore(lastCall()));
     }
@@ -404,7 +411,7 @@
             server.log("bounce " + ticket.id().number() + ": " + why);
             // What is past its share, or too old, is worth little anywhere, and each node that reads it pays.
             // Where tickets have had to wait for long, the others are likely to be as crowded.
-            boolean worthless = overShare || tooOld() || floor > mostFloor() / 2;
+            boolean worthless = overShare || tooOld() || floor > mostFloor / 2;
             // A burst's ticket asks nobody to stay away: its dispatcher carries the other customers too.
             boolean burst = overShare && customer.crowding(0) > 2 * customer.usual;
             Span pause = burst ? Span.ZERO : comeBackAfter.min(mostPause);
@@ -587,11 +594,9 @@
 
         private boolean anotherCallLikely() {
             double ended = track.endedAt[Math.min(calls, 7) - 1];
-            if (ended > MEMORY_OF) {
-                for (int i = 0; i < track.reached.length; i++) {
-                    track.reached[i] /= 2;
-                    track.endedAt[i] /= 2;
-                }
+            for (int i = 0; ended > MEMORY_OF && i < track.reached.length; i++) {
+                track.reached[i] /= 2;
+                track.endedAt[i] /= 2;
             }
             return calls < 7 && track.reached[calls] * 2 > track.endedAt[calls - 1];
         }
@@ -648,9 +653,8 @@
                 Comparator.comparingDouble(Held::worth).thenComparingLong(held -> -held.number));
         List<Held> gone = new ArrayList<>();
         double running = onCores * meanCost() / 2;
-        // A free core always tries what is not old, unless tickets wait to call already: an estimate of cost
-        // that has gone wrong could otherwise never be put right. What was read too late leaves the cores to
-        // reading, or a node once behind with its reading would stay so.
+        // A free core always tries what is not old, unless tickets wait to call: a wrong estimate of cost could
+        // otherwise never be put right. What was read too late leaves the cores to reading, to catch up with it.
         double free = cores - onCores;
         for (Held held : hold) {
             if (free-- >= 1 && !held.tooOld() && (!held.track.says.calls() || waitsToCall.isEmpty())) {
@@ -754,13 +758,8 @@
     }
 
     private double meanCost() {
-        double sum = 0;
-        double weight = 0;
-        for (TrackBook track : tracks) {
-            double share = Math.max(1, track.cost.weight());
-            sum += share * track.costNow(speedNow());
-            weight += share;
-        }
+        double weight = tracks.stream().mapToDouble(TrackBook::weight).sum();
+        double sum = tracks.stream().mapToDouble(track -> track.weight() * track.costNow(speedNow())).sum();
         return weight > 0 ? sum / weight : 1;
     }
 
@@ -768,6 +767,7 @@
 
     @Override
     public void leave(Span until) {
+        leaving = true;
         leftAt = server.now();
         stopsAt = leftAt.plus(until);
         server.health(false, true);
@@ -775,10 +775,6 @@
         advise();
     }
 
-    private boolean leaving() {
-        return leftAt != Moment.NEVER;
-    }
-
     /** Rule 3: by now, a little before the stop, all that was read is answered. */
     private Moment lastCall() {
         return stopsAt.minus(stopsAt.since(leftAt).times(0.05).max(step.times(4)));
@@ -798,8 +794,7 @@
     private void beat() {
         advise();
         Span pause = settings.span("rules.fall_ns").times(0.05).max(step);
-        floor += pause.seconds() * (standing() - EASY);
-        floor = Math.max(0, Math.min(mostFloor(), floor));
+        floor = Math.max(0, Math.min(mostFloor, floor + pause.seconds() * (standing() - EASY)));
         alarms.in(pause, this::beat);
     }
 
@@ -809,16 +804,11 @@
         return work / cores / meanAgreed + unread;
     }
 
-    /** The best-paid band of ranks is always let in. */
-    private double mostFloor() {
-        return 1 - 1.0 / Math.max(1, tracks.size());
-    }
-
     private void advise() {
         double level = switch (settings.text("domain.advert")) {
             case "allowance" -> allowance();
-            case "floor" -> leaving() ? 1 : Math.round(floor * 100) / 100.0;
-            case "weight" -> leaving() ? 0 : 1;
+            case "floor" -> leaving ? 1 : Math.round(floor * 100) / 100.0;
+            case "weight" -> leaving ? 0 : 1;
             default -> -1;
         };
         if (level >= 0 && level != advised) {
@@ -829,7 +819,7 @@
 
     /** What can be finished within half the mean agreed time, split among the callers. */
     private double allowance() {
-        if (leaving()) {
+        if (leaving) {
             return 0;
         }
         double room = Math.max(cores, cores * meanAgreed / 2 / Math.max(1e-9, meanCost()));
