--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -92,11 +92,9 @@
         boolean spend() {
             usual = Math.max(1, customers.stream().mapToDouble(book -> book.crowding(book == this ? 1 : 0))
                     .sorted().skip((customers.size() - 1) / 2).findFirst().orElse(1));
-            if (saved < 1) {
-                return false;
-            }
-            saved--;
-            return true;
+            boolean within = saved >= 1;
+            saved -= within ? 1 : 0;
+            return within;
         }
     }
 
@@ -109,7 +107,6 @@
     private final double entryKb;
     private final Moment born;
     private final Span step;
-    private final Span mostPause;
     private final double meanAgreed;
     /** The told share of calls in hand; without a shared dependency only the limit binds. */
     private final double toldShare;
@@ -154,6 +151,8 @@
     /** The rank below which callers are asked to send nothing; the best-paid band is always let in. */
     private double floor;
     private final double mostFloor;
+    private double connections;
+    private Span idle;
 
     public Brain(Server server, long seed, Map<String, String> map) {
         this.server = server;
@@ -163,7 +162,6 @@
         givenAt = born;
         nextCall = born;
         step = settings.span("step_ns");
-        mostPause = settings.span("bounds.max_retry_after_ns");
         cores = Math.max(1, settings.number("domain.cpus", 1));
         memory = settings.number("domain.memory_kb", 1e12);
         entryKb = settings.number("domain.entry_kb", 0);
@@ -180,6 +178,7 @@
         for (int i = 0; i < settings.number("customers.count", 0); i++) {
             customers.add(new CustomerBook(i));
         }
+        idle = settings.span("domain.keepalive_max_ns");
         server.health(true, true);
         beat();
     }
@@ -206,7 +205,7 @@
                 server.reuse(ticket.id());
             }
         } else if (leavingFor(held)) {
-            held.bounce("leaving", mostPause);
+            held.bounce("leaving", settings.span("bounds.max_retry_after_ns"));
         } else if (usedKb + entryKb > memory * SAFE) {
             // Rule 4: a receipted ticket that could not be remembered is turned away like any other.
             held.bounce("memory full", Span.ofSeconds(meanCost()));
@@ -291,12 +290,10 @@
             track = tracks.get(ticket.track().number());
             number = order++;
             reached = server.now().minus(ticket.waited());
-            Span agreed = track.says.agreed().plus(ticket.work().times(track.says.agreedStretch()));
-            boolean told = ticket.patience().isPositive();
-            Moment callerGone =
-                    told ? server.now().plus(ticket.patience()) : reached.plus(track.says.abandon());
-            lastAnswer = callerGone.minus(step.plus(step));
-            Moment agreedAt = reached.plus(agreed);
+            lastAnswer = (ticket.patience().isPositive() ? server.now().plus(ticket.patience())
+                    : reached.plus(track.says.abandon())).minus(step.plus(step));
+            Moment agreedAt = reached.plus(track.says.agreed())
+                    .plus(ticket.work().times(track.says.agreedStretch()));
             due = agreedAt.isBefore(lastAnswer) ? agreedAt : lastAnswer;
         }
 
@@ -414,7 +411,7 @@
             boolean worthless = overShare || tooOld() || floor > mostFloor / 2;
             // A burst's ticket asks nobody to stay away: its dispatcher carries the other customers too.
             boolean burst = overShare && customer.crowding(0) > 2 * customer.usual;
-            Span pause = burst ? Span.ZERO : comeBackAfter.min(mostPause);
+            Span pause = burst ? Span.ZERO : comeBackAfter.min(settings.span("bounds.max_retry_after_ns"));
             server.bounce(ticket.id(), worthless, pause);
             answered = true;
             if (customer != null && !overShare) {
@@ -653,8 +650,8 @@
                 Comparator.comparingDouble(Held::worth).thenComparingLong(held -> -held.number));
         List<Held> gone = new ArrayList<>();
         double running = onCores * meanCost() / 2;
-        // A free core always tries what is not old, unless tickets wait to call: a wrong estimate of cost could
-        // otherwise never be put right. What was read too late leaves the cores to reading, to catch up with it.
+        // A free core always tries what is not old, unless tickets wait to call: else a wrong estimate
+        // of cost could never be put right. What was read too late leaves the cores to reading, to catch up.
         double free = cores - onCores;
         for (Held held : hold) {
             if (free-- >= 1 && !held.tooOld() && (!held.track.says.calls() || waitsToCall.isEmpty())) {
@@ -685,12 +682,8 @@
         // Reading shares the cores with what runs: a node behind in its reading runs fewer, to catch up.
         double behind = Math.max(0.25, 1 - unread);
         double room = Math.min(cores * (2 / wanting - 1) * behind, Math.floor(crowdCeiling()));
-        while (!hold.isEmpty() && onCores < room) {
-            Held next = hold.first();
-            if (usedKb + next.runKb() > memory * SAFE) {
-                break;
-            }
-            next.run();
+        while (!hold.isEmpty() && onCores < room && usedKb + hold.first().runKb() <= memory * SAFE) {
+            hold.first().run();
         }
     }
 
@@ -787,17 +780,34 @@
             double seen = Math.max(0.3, Math.min(1, gauges.wantingCore() / onCores));
             wanting += (seen - wanting) / MEMORY_OF;
         }
+        connections = gauges.connections();
         alarms.ring();
     }
 
     /** Now and then, at a twentieth of the time over which a crowd is averaged: the advice is set anew. */
     private void beat() {
         advise();
+        trimIdle();
         Span pause = settings.span("rules.fall_ns").times(0.05).max(step);
         floor = Math.max(0, Math.min(mostFloor, floor + pause.seconds() * (standing() - EASY)));
         alarms.in(pause, this::beat);
     }
 
+    /**
+     * Open connections take from the cores and a full table lets nobody in; its cap is not told. With more
+     * open than twice what the cores can finish in the agreed time, idle ones are closed sooner.
+     */
+    private void trimIdle() {
+        Span longest = settings.span("domain.keepalive_max_ns");
+        double full = connections * meanCost() / (2 * cores * meanAgreed);
+        Span wanted = full > 1 ? idle.times(0.9).max(longest.times(0.01))
+                : full < 0.5 ? idle.times(1.1).min(longest) : idle;
+        if (!wanted.equals(idle)) {
+            idle = wanted;
+            server.closeIdle(idle);
+        }
+    }
+
     /** The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold. */
     private double standing() {
         double work = hold.stream().filter(held -> !held.overShare).mapToDouble(Held::cost).sum();
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -311,6 +311,19 @@
                 """);
     }
 
+    @Test
+    void manyOpenConnectionsAreClosedSoonerWhenIdle() {
+        machine.set("domain.keepalive_max_ns=10000000000").start();
+        machine.gauges = new Gauges(0, 0, 0, 500);
+        machine.pass(300);
+        assertThat(machine.printed()).isEqualTo(
+                """
+                100 close idle after 9.00
+                200 close idle after 8.10
+                300 close idle after 7.29
+                """);
+    }
+
     /** The first track waits so long that only the limit can turn its tickets away. */
     private Machine patient() {
         return machine.set("services.0.aim_ns=20000000000 services.0.give_up_ns=40000000000");
--- a/src/test/java/lupinwood/Machine.java
+++ b/src/test/java/lupinwood/Machine.java
@@ -177,7 +177,7 @@
 
     @Override
     public void closeIdle(Span idle) {
-        say("close idle");
+        say(String.format(Locale.ROOT, "close idle after %.2f", idle.seconds()));
     }
 
     @Override
