--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -7,9 +7,8 @@
  * All decisions of one node: what it takes, runs, bounces and fails. The interface is package lupinwood.node.
  * A Brain is made for one life of one machine, from its settings. News comes in by take, leave, wake and the
  * calls on the handles that take returns; settle closes each moment. Results leave through Server. Everything
- * due later stands in one queue of alarms, with one wake-up asked for at a time.
- * Order of reading: take (what is checked on arrival), Held (what happens to a ticket), settle (what is
- * turned away, run and called), then the limit, the guards and the advice.
+ * due later stands in one queue of alarms, with one wake-up asked for at a time. Order of reading: take, Held
+ * (what happens to a ticket), settle (what is turned away, run and called), then the guards and the advice.
  */
 public final class Brain implements Node {
     /** How many figures a histogram takes in before it is halved. */
@@ -24,7 +23,7 @@
     private static final double EASY = 0.15;
     /** Before anything was measured, a ticket is held to cost this part of its agreed time. */
     private static final double FIRST_GUESS = 0.1;
-    /** The seconds of its share that a customer can save up, and over which what it sends is reckoned. */
+    /** The seconds over which a customer's share is saved up and reckoned, more where few tickets come. */
     private static final double SAVED_UP = 6;
     /** The part of the told share of calls that is used whatever calls take. */
     private static final double LEAST_CALLS = 0.2;
@@ -65,32 +64,43 @@
     /** One customer's share of this node in tickets a second, and what it has saved up of it. */
     private final class CustomerBook {
         final double rate;
+        final double span;
         double saved;
-        double lately;
+        double came;
+        double kept;
         double usual = 1;
         Moment seen = born;
 
         CustomerBook(int i) {
             rate = settings.number("customers." + i + ".quota_rps", 0)
                     / Math.max(1, settings.number("group_size", 1));
-            saved = rate;
+            span = Math.max(SAVED_UP, MEMORY_OF / 2 / Math.max(1e-9, rate));
+            saved = rate * SAVED_UP;
         }
 
-        /** What came lately, as a multiple of the share; brought up to now, with so many more. */
-        double crowding(int more) {
+        void bringUp() {
             double passed = server.now().since(seen).seconds();
-            lately = lately * Math.exp(-passed / SAVED_UP) + more;
-            saved = Math.min(rate * SAVED_UP * usual, saved + rate * usual * passed);
+            came *= Math.exp(-passed / span);
+            kept *= Math.exp(-passed / span);
+            saved = Math.min(rate * span * usual, saved + rate * usual * passed);
             seen = server.now();
-            return lately / Math.max(1e-9, rate * SAVED_UP);
+        }
+
+        /** So many tickets lately, as a multiple of the share. */
+        double crowding(double tickets) {
+            double past = 1 - Math.exp(-Math.max(SAVED_UP, seen.since(born).seconds()) / span);
+            return tickets / Math.max(1e-9, rate * span * past);
         }
 
         /**
          * Whether one more ticket stays within the share; if so it is taken off. A node that callers favour
-         * gets more of every customer, so the share grows with what the middle one of them sends here.
+         * gets more of all, so the share grows with what is kept, not bounced, of the middle customer.
          */
         boolean spend() {
-            usual = Math.max(1, customers.stream().mapToDouble(book -> book.crowding(book == this ? 1 : 0))
+            customers.forEach(CustomerBook::bringUp);
+            came++;
+            kept++;
+            usual = Math.max(1, customers.stream().mapToDouble(book -> book.crowding(book.kept))
                     .sorted().skip((customers.size() - 1) / 2).findFirst().orElse(1));
             boolean within = saved >= 1;
             saved -= within ? 1 : 0;
@@ -162,9 +172,9 @@
         givenAt = born;
         nextCall = born;
         step = settings.span("step_ns");
-        cores = Math.max(1, settings.number("domain.cpus", 1));
-        memory = settings.number("domain.memory_kb", 1e12);
+        memory = SAFE * settings.number("domain.memory_kb", 1e12);
         entryKb = settings.number("domain.entry_kb", 0);
+        cores = Math.max(1, settings.number("domain.cpus", 1));
         toldShare = settings.is("domain.below", "one_for_all")
                 ? Math.max(1e-3, settings.number("domain.calls_out", 1e9)) : 1e9;
         callsAllowed = toldShare;
@@ -206,7 +216,7 @@
             }
         } else if (leavingFor(held)) {
             held.bounce("leaving", settings.span("bounds.max_retry_after_ns"));
-        } else if (usedKb + entryKb > memory * SAFE) {
+        } else if (usedKb + entryKb > memory) {
             // Rule 4: a receipted ticket that could not be remembered is turned away like any other.
             held.bounce("memory full", Span.ofSeconds(meanCost()));
         } else if (held.track.says.calls() && count >= Math.floor(limit) && !makeRoom(held)) {
@@ -410,12 +420,13 @@
             // Where tickets have had to wait for long, the others are likely to be as crowded.
             boolean worthless = overShare || tooOld() || floor > mostFloor / 2;
             // A burst's ticket asks nobody to stay away: its dispatcher carries the other customers too.
-            boolean burst = overShare && customer.crowding(0) > 2 * customer.usual;
+            boolean burst = overShare && customer.crowding(customer.came) > 2 * customer.usual;
             Span pause = burst ? Span.ZERO : comeBackAfter.min(settings.span("bounds.max_retry_after_ns"));
             server.bounce(ticket.id(), worthless, pause);
             answered = true;
-            if (customer != null && !overShare) {
-                customer.saved++;
+            if (customer != null) {
+                customer.kept = Math.max(0, customer.kept - 1);
+                customer.saved += overShare ? 0 : 1;
             }
             over();
         }
@@ -640,10 +651,7 @@
         alarms.arm();
     }
 
-    /**
-     * Turns away what would only wait in vain: going through the hold by agreed time, the moment one can't be
-     * met, the ticket among those gone through that earns least for its cost makes room.
-     */
+    /** By agreed time; the moment one can't be met, the one so far that earns least for its cost goes. */
     private void turnAway() {
         double ahead = 0;
         PriorityQueue<Held> soFar = new PriorityQueue<>(
@@ -682,7 +690,7 @@
         // Reading shares the cores with what runs: a node behind in its reading runs fewer, to catch up.
         double behind = Math.max(0.25, 1 - unread);
         double room = Math.min(cores * (2 / wanting - 1) * behind, Math.floor(crowdCeiling()));
-        while (!hold.isEmpty() && onCores < room && usedKb + hold.first().runKb() <= memory * SAFE) {
+        while (!hold.isEmpty() && onCores < room && usedKb + hold.first().runKb() <= memory) {
             hold.first().run();
         }
     }
@@ -738,10 +746,8 @@
 
     /** TARGET: half the agreed time or three calm medians, whichever is more; none before a median. */
     private static Span target(TrackBook track) {
-        if (track.calmCalls.weight() < ENOUGH) {
-            return null;
-        }
-        return track.says.agreed().times(0.5).max(Span.ofSeconds(3 * track.calmCalls.median()));
+        return track.calmCalls.weight() < ENOUGH ? null
+                : track.says.agreed().times(0.5).max(Span.ofSeconds(3 * track.calmCalls.median()));
     }
 
     private void advanceGiven() {
@@ -789,7 +795,10 @@
         advise();
         trimIdle();
         Span pause = settings.span("rules.fall_ns").times(0.05).max(step);
-        floor = Math.max(0, Math.min(mostFloor, floor + pause.seconds() * (standing() - EASY)));
+        // The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold.
+        double work = hold.stream().filter(held -> !held.overShare).mapToDouble(Held::cost).sum();
+        double standing = work / cores / meanAgreed + unread;
+        floor = Math.max(0, Math.min(mostFloor, floor + pause.seconds() * (standing - EASY)));
         alarms.in(pause, this::beat);
     }
 
@@ -808,15 +817,9 @@
         }
     }
 
-    /** The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold. */
-    private double standing() {
-        double work = hold.stream().filter(held -> !held.overShare).mapToDouble(Held::cost).sum();
-        return work / cores / meanAgreed + unread;
-    }
-
     private void advise() {
         double level = switch (settings.text("domain.advert")) {
-            case "allowance" -> allowance();
+            case "allowance" -> leaving ? 0 : allowance();
             case "floor" -> leaving ? 1 : Math.round(floor * 100) / 100.0;
             case "weight" -> leaving ? 0 : 1;
             default -> -1;
@@ -829,9 +832,6 @@
 
     /** What can be finished within half the mean agreed time, split among the callers. */
     private double allowance() {
-        if (leaving) {
-            return 0;
-        }
         double room = Math.max(cores, cores * meanAgreed / 2 / Math.max(1e-9, meanCost()));
         return Math.round(4 * room / Math.max(1, settings.number("domain.upstreams", 1))) / 4.0;
     }
