--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -819,20 +819,16 @@
 
     private void advise() {
         double level = switch (settings.text("domain.advert")) {
-            case "allowance" -> leaving ? 0 : allowance();
+            // What can be finished within half the mean agreed time, split among the callers.
+            case "allowance" -> leaving ? 0 : cores * Math.max(1, meanAgreed / 2 / Math.max(1e-9, meanCost()))
+                    / Math.max(1, settings.number("domain.upstreams", 1));
             case "floor" -> leaving ? 1 : Math.round(floor * 100) / 100.0;
             case "weight" -> leaving ? 0 : 1;
             default -> -1;
         };
-        if (level >= 0 && level != advised) {
+        if (level >= 0 && Math.abs(level - advised) > advised / MEMORY_OF) {
             advised = level;
             server.advise(level);
         }
     }
-
-    /** What can be finished within half the mean agreed time, split among the callers. */
-    private double allowance() {
-        double room = Math.max(cores, cores * meanAgreed / 2 / Math.max(1e-9, meanCost()));
-        return Math.round(4 * room / Math.max(1, settings.number("domain.upstreams", 1))) / 4.0;
-    }
 }
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -324,6 +324,16 @@
                 """);
     }
 
+    @Test
+    void aSmallAllowanceAmongManyCallersIsNotRoundedToNothing() {
+        machine.set("domain.advert=allowance domain.upstreams=100").start();
+        for (int i = 0; i < 6; i++) {
+            machine.end(machine.arrive(Machine.LOCAL));
+        }
+        machine.pass(100);
+        assertThat(machine.printed().lines()).contains("100 advise 0.30");
+    }
+
     /** The first track waits so long that only the limit can turn its tickets away. */
     private Machine patient() {
         return machine.set("services.0.aim_ns=20000000000 services.0.give_up_ns=40000000000");
