--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -161,6 +161,8 @@
     /** The rank below which callers are asked to send nothing; the best-paid band is always let in. */
     private double floor;
     private final double mostFloor;
+    /** The callers of the latest tickets. */
+    private final Deque<CallerId> callers = new ArrayDeque<>();
     private double connections;
     private Span idle;
 
@@ -203,6 +205,10 @@
         held.chargeCustomer();
         held.track.asked++;
         judgeTracks();
+        callers.add(ticket.caller());
+        if (callers.size() > MEMORY_OF) {
+            callers.remove();
+        }
         unread += (ticket.waited().seconds() / held.track.says.agreed().seconds() - unread) / MEMORY_OF;
         Held original = ticket.original() == null ? null : remembered.get(ticket.original());
         if (held.track.says.effect() == Effect.RECEIPTED && ticket.original() != null
@@ -229,7 +235,8 @@
             hold.add(held);
         }
         if (held.state != State.OVER) {
-            alarms.at(held.lastAnswer, held::mustEnd);
+            // Rule 1: whatever is under way, the answer goes out before the caller leaves.
+            alarms.at(held.lastAnswer, () -> held.bounce("never got to run", Span.ZERO));
         }
         return held;
     }
@@ -288,7 +295,6 @@
         double startedAt;
         double got;
         int calls;
-        int callNumber;
         Moment calledAt;
         int triesOfCall;
         boolean calmCall;
@@ -411,7 +417,7 @@
 
         void bounce(String why, Span comeBackAfter) {
             // Rule 2: what ran, here or as its original, is not turned away.
-            if (ran || state == State.REUSING) {
+            if (ran || answered || state == State.REUSING) {
                 fail();
                 return;
             }
@@ -447,13 +453,6 @@
             }
         }
 
-        /** Rule 1: whatever is under way, the answer goes out before the caller leaves. */
-        void mustEnd() {
-            if (!answered) {
-                bounce("never got to run", Span.ZERO);
-            }
-        }
-
         void over() {
             leaveCores();
             hold.remove(this);
@@ -511,17 +510,16 @@
         void makeCall() {
             waitsToCall.remove(this);
             state = State.CALLING;
-            callNumber++;
             calmCall = count * 2 < limit;
             callsInHand++;
             calledAt = server.now();
             Span cap = callCap();
             server.call(ticket.id(), cap);
-            int thisCall = callNumber;
+            Moment thisCall = calledAt;
             Span target = target(track);
             if (target != null && target.compareTo(cap) < 0) {
                 alarms.in(target, () -> {
-                    if (state == State.CALLING && callNumber == thisCall) {
+                    if (state == State.CALLING && calledAt == thisCall) {
                         cut();
                     }
                 });
@@ -770,7 +768,8 @@
         leftAt = server.now();
         stopsAt = leftAt.plus(until);
         server.health(false, true);
-        alarms.at(lastCall(), () -> List.copyOf(open.values()).forEach(Held::mustEnd));
+        alarms.at(lastCall(),
+                () -> List.copyOf(open.values()).forEach(held -> held.bounce("leaving", Span.ZERO)));
         advise();
     }
 
@@ -804,11 +803,13 @@
 
     /**
      * Open connections take from the cores and a full table lets nobody in; its cap is not told. With more
-     * open than twice what the cores can finish in the agreed time, idle ones are closed sooner.
+     * open than some times what the cores can finish in the agreed time, idle ones are closed sooner: eight
+     * times where all come from one caller, nearly none where no caller comes back.
      */
     private void trimIdle() {
         Span longest = settings.span("domain.keepalive_max_ns");
-        double full = connections * meanCost() / (2 * cores * meanAgreed);
+        double back = callers.isEmpty() ? 1 : 1 - new HashSet<>(callers).size() / (callers.size() + 1.0);
+        double full = connections * meanCost() / (8 * back * cores * meanAgreed);
         Span wanted = full > 1 ? idle.times(0.9).max(longest.times(0.01))
                 : full < 0.5 ? idle.times(1.1).min(longest) : idle;
         if (!wanted.equals(idle)) {
