--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -315,10 +315,7 @@
 
         double cost() {
             double hint = ticket.work().seconds();
-            if (hint > 0) {
-                return hint * (hints.weight() >= ENOUGH ? hintedCost.mean() / hints.mean() : 1 / speedNow());
-            }
-            return track.costNow(speedNow());
+            return hint > 0 ? hint * slowness() : track.costNow(speedNow());
         }
 
         /** What satisfying this one adds to the goal: its credit, and more while its track is worst. */
@@ -423,8 +420,8 @@
             }
             server.log("bounce " + ticket.id().number() + ": " + why);
             // What is past its share, or too old, is worth little anywhere, and each node that reads it pays.
-            // Where tickets have had to wait for long, the others are likely to be as crowded.
-            boolean worthless = overShare || tooOld() || floor > mostFloor / 2;
+            // Where tickets have had to wait for long, the others are likely as crowded, unless slow here.
+            boolean worthless = overShare || tooOld() || floor > mostFloor / 2 && slowness() < 1 / SAFE;
             // A burst's ticket asks nobody to stay away: its dispatcher carries the other customers too.
             boolean burst = overShare && customer.crowding(customer.came) > 2 * customer.usual;
             Span pause = burst ? Span.ZERO : comeBackAfter.min(settings.span("bounds.max_retry_after_ns"));
@@ -708,6 +705,11 @@
         return Math.min(1, from + (1 - from) * server.now().since(born).nanos() / ramp);
     }
 
+    /** What a second of work on a standard core takes here: more on slow and cold machines. */
+    private double slowness() {
+        return hints.weight() >= ENOUGH ? hintedCost.mean() / hints.mean() : 1 / speedNow();
+    }
+
     private void startCalls() {
         Moment soonest = (pausing() ? nextCall : server.now()).plus(callTime());
         for (Held waiting : List.copyOf(waitsToCall)) {
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -17,8 +17,7 @@
         long waits = machine.arrive(Machine.RECEIPTED);
         machine.tell(waits, Handle::needsCall);
         machine.pass(6000);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 run 1
                 0 run 2
                 0 call 2
@@ -39,8 +38,7 @@
         machine.tell(during, handle -> handle.ended(Outcome.OK, Span.ZERO));
         machine.pass(7000);
         machine.arrive(Machine.RECEIPTED, first, 10, 0);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 remember 1
                 0 run 1
                 0 reuse for 2
@@ -54,8 +52,7 @@
         long first = machine.arrive(Machine.RECEIPTED);
         machine.tell(first, handle -> handle.ended(Outcome.ERROR, Span.ZERO));
         machine.arrive(Machine.RECEIPTED, first, 10, 0);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 remember 1
                 0 run 1
                 0 fail 2
@@ -72,8 +69,7 @@
         machine.pass(800);
         machine.arrive(Machine.LOCAL);
         machine.pass(2000);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 run 1
                 0 health bad
                 400 run 2
@@ -90,8 +86,7 @@
         machine.arrive(Machine.LOCAL, 0, 20, 0);
         machine.arrive(Machine.LOCAL, 0, 4, 0);
         machine.arrive(Machine.RECEIPTED, 0, 3, 0);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 run 1
                 0 log bounce 3: memory full
                 0 bounce 3, come back later
@@ -105,8 +100,7 @@
         for (int i = 0; i < 3; i++) {
             machine.arrive(Machine.LOCAL);
         }
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 run 1
                 0 log bounce 3: would wait in vain
                 0 bounce 3, come back later
@@ -120,8 +114,7 @@
         for (int i = 0; i < 3; i++) {
             machine.arrive(Machine.LOCAL);
         }
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 run 1
                 0 log bounce 3: would wait in vain
                 0 bounce 3, come back later
@@ -137,8 +130,7 @@
         machine.trace.clear();
         machine.arrive(Machine.EFFECTFUL);
         machine.arrive(Machine.LOCAL);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 log bounce 21: count at limit
                 0 bounce 21, come back later
                 """);
@@ -158,8 +150,7 @@
         machine.arrive(Machine.PURE);
         machine.tell(early, handle -> handle.callEnded(Outcome.OK, Span.ofSeconds(0.1)));
         machine.arrive(Machine.PURE);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 900 run 17
                 900 call 9
                 900 log bounce 29: count at limit
@@ -172,8 +163,7 @@
         patient().start();
         long slow = machine.arrive(Machine.PURE);
         machine.call(slow, 15000, Outcome.OK);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 run 1
                 0 call 1
                 """);
@@ -185,8 +175,7 @@
         machine.calm(100);
         long slow = machine.arrive(Machine.PURE);
         machine.call(slow, 12000, Outcome.BROKEN);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 800 run 9
                 800 call 9
                 10800 log limit cut to 18.0
@@ -201,8 +190,7 @@
         machine.call(within, 12000, Outcome.OK);
         long past = machine.arrive(Machine.PURE);
         machine.call(past, 18000, Outcome.OK);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 40000 run 9
                 40000 call 9
                 52000 run 10
@@ -220,8 +208,7 @@
         machine.tell(second, Handle::needsCall);
         machine.tell(first, handle -> handle.callEnded(Outcome.TIMED_OUT, Span.ofSeconds(1)));
         machine.pass(250);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 run 1
                 0 run 2
                 0 call 1
@@ -239,8 +226,7 @@
         machine.call(first, 100, Outcome.OK);
         machine.tell(second, handle -> handle.callEnded(Outcome.OK, Span.ofSeconds(0.1)));
         machine.pass(1000);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 run 1
                 0 run 2
                 0 call 2
@@ -255,8 +241,7 @@
         for (int i = 0; i < 3; i++) {
             machine.call(machine.arrive(Machine.PURE), 500, Outcome.OK);
         }
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 800 run 9
                 800 call 9
                 1300 run 10
@@ -271,8 +256,7 @@
         long ticket = machine.arrive(Machine.PURE);
         machine.call(ticket, 1000, Outcome.TIMED_OUT);
         machine.end(ticket);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 run 1
                 0 call 1
                 1000 skip the call of 1
@@ -286,8 +270,7 @@
         machine.call(ticket, 10, Outcome.UNREACHABLE);
         machine.pass(500);
         machine.tell(ticket, handle -> handle.callEnded(Outcome.BROKEN, Span.ofSeconds(0.5)));
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 run 1
                 0 call 1
                 210 call 1
@@ -304,20 +287,33 @@
         }
         machine.trace.clear();
         machine.arrive(Machine.PURE, 0, 1, 1);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 0 log bounce 15: would wait in vain
-                0 bounce 15
+                0 bounce 15, ask no other
                 """);
     }
 
+    @Test
+    void whereTicketsWaitLongOnlyAMachineThatIsNotSlowAsksForNoOther() {
+        patient().set("rules.cold_share=0.5 rules.ramp_time_ns=100000000000 rules.fall_multiple=20");
+        for (String cold : new String[] {"false", "true"}) {
+            machine.set("domain.cpus=8 domain.cold=" + cold).start();
+            for (int i = 0; i < 20; i++) {
+                machine.arrive(Machine.PURE, 0, 1, 0);
+            }
+            machine.pass(3000);
+            machine.arrive(Machine.PURE);
+            assertThat(machine.trace.get(machine.trace.size() - 1)).isEqualTo(cold.equals("true")
+                    ? "6000 bounce 42, come back later" : "3000 bounce 21, come back later, ask no other");
+        }
+    }
+
     @Test
     void manyOpenConnectionsAreClosedSoonerWhenIdle() {
         machine.set("domain.keepalive_max_ns=10000000000").start();
         machine.gauges = new Gauges(0, 0, 0, 500);
         machine.pass(300);
-        assertThat(machine.printed()).isEqualTo(
-                """
+        assertThat(machine.printed()).isEqualTo("""
                 100 close idle after 9.00
                 200 close idle after 8.10
                 300 close idle after 7.29
--- a/src/test/java/lupinwood/DrillTest.java
+++ b/src/test/java/lupinwood/DrillTest.java
@@ -27,8 +27,7 @@
 
     @Test
     void aTicketWithItsLastFieldsLeftOffIsRunAndUnknownEventsAreSkipped() throws IOException {
-        assertThat(play(start(3), "63 00000002 ffff " + String.format(TICKET, 3, 7))).isEqualTo(
-                """
+        assertThat(play(start(3), "63 00000002 ffff " + String.format(TICKET, 3, 7))).isEqualTo("""
                 00000020 00000002 5e 00000004 0003 01 01 51 0000000e 0003 000000000bebc200 00000000
                 0000000f 00000001 56 00000006 0003 00000007
                 """);
--- a/src/test/java/lupinwood/Machine.java
+++ b/src/test/java/lupinwood/Machine.java
@@ -1,11 +1,6 @@
 package lupinwood;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Locale;
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.*;
 import java.util.function.Consumer;
 import lupinwood.node.*;
 
@@ -132,7 +127,8 @@
 
     @Override
     public void bounce(TicketId ticket, boolean askNoOther, Span comeBackAfter) {
-        say("bounce " + ticket.number() + (comeBackAfter.isPositive() ? ", come back later" : ""));
+        say("bounce " + ticket.number() + (comeBackAfter.isPositive() ? ", come back later" : "")
+                + (askNoOther ? ", ask no other" : ""));
     }
 
     @Override
--- a/src/test/java/lupinwood/StrainTest.java
+++ b/src/test/java/lupinwood/StrainTest.java
@@ -2,11 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.Random;
-import java.util.TreeMap;
+import java.util.*;
 import lupinwood.node.*;
 import org.junit.jupiter.api.Test;
 
@@ -167,6 +163,7 @@
         long now = machine.now().nanos();
         double memory = 0;
         int running = 0;
+        int calls = 0;
         for (Map.Entry<Long, Known> entry : all.entrySet()) {
             Known known = entry.getValue();
             boolean due = now > known.reached + 5_000_000_000L || now >= leftAt + 3_000_000_000L;
@@ -174,9 +171,11 @@
             memory += known.place.equals("over") ? 0 : known.memory * (known.runs > 0 ? 4 : 1);
             memory += known.kept && now < known.reached + 8_000_000_000L ? 1 : 0;
             running += known.place.equals("running") ? 1 : 0;
+            calls += known.place.equals("calling") ? 1 : 0;
         }
         expect(memory <= MEMORY, "memory " + memory);
         expect(running <= CORES * 5, "crowd " + running);
+        expect(calls <= 3, "calls in hand " + calls);
         if (!broken.isEmpty()) {
             broken.add("day " + day + ", step " + step);
             throw new AssertionError(broken);
