--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -161,7 +161,6 @@
     /** The rank below which callers are asked to send nothing; the best-paid band is always let in. */
     private double floor;
     private final double mostFloor;
-    /** The callers of the latest tickets. */
     private final Deque<CallerId> callers = new ArrayDeque<>();
     private double connections;
     private Span idle;
@@ -794,11 +793,11 @@
     /** Now and then, at a twentieth of the time over which a crowd is averaged: the advice is set anew. */
     private void beat() {
         advise();
-        trimIdle();
         Span pause = settings.span("rules.fall_ns").times(0.05).max(step);
         // The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold.
         double work = hold.stream().filter(held -> !held.overShare).mapToDouble(Held::cost).sum();
         double standing = work / cores / meanAgreed + unread;
+        trimIdle(unread > EASY);
         floor = Math.max(0, Math.min(mostFloor, floor + pause.seconds() * (standing - EASY)));
         alarms.in(pause, this::beat);
     }
@@ -806,14 +805,15 @@
     /**
      * Open connections take from the cores and a full table lets nobody in; its cap is not told. With more
      * open than some times what the cores can finish in the agreed time, idle ones are closed sooner: eight
-     * times where all come from one caller, nearly none where no caller comes back.
+     * times where few callers come, nearly none where none comes back. A node behind in its reading lets them
+     * stand: new ones would cost it a handshake each, and a full table refuses for nothing.
      */
-    private void trimIdle() {
+    private void trimIdle(boolean crowded) {
         Span longest = settings.span("domain.keepalive_max_ns");
         double back = callers.isEmpty() ? 1 : 1 - new HashSet<>(callers).size() / (callers.size() + 1.0);
         double full = connections * meanCost() / (8 * back * cores * meanAgreed);
-        Span wanted = full > 1 ? idle.times(0.9).max(longest.times(0.01))
-                : full < 0.5 ? idle.times(1.1).min(longest) : idle;
+        Span wanted = crowded || full < 0.5 ? idle.times(1.1).min(longest)
+                : full > 1 ? idle.times(0.9).max(longest.times(0.01)) : idle;
         if (!wanted.equals(idle)) {
             idle = wanted;
             server.closeIdle(idle);
