--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -724,12 +724,12 @@
 
     /**
      * The told share is what a shared dependency survives; it slows down long before. So the calls in hand
-     * that are allowed shrink below the share, to a fifth, while calls take over three calm medians.
+     * that are allowed shrink, to a fifth, by as much as a call takes longer than three calm medians.
      */
     private void feelCrowdBelow(Span took, Histogram calm) {
         double least = toldShare * LEAST_CALLS;
-        boolean crowded = calm.weight() >= ENOUGH && took.seconds() > 3 * calm.median();
-        callsAllowed = crowded ? Math.max(least, callsAllowed * 0.9)
+        double slack = calm.weight() < ENOUGH ? 1 : 3 * calm.median() / Math.max(1e-9, took.seconds());
+        callsAllowed = slack < 1 ? Math.max(least, callsAllowed * slack)
                 : Math.min(toldShare, callsAllowed + least * least / callsAllowed);
     }
 
