--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -538,7 +538,7 @@
                 return;
             }
             latestCalls.add(took.seconds());
-            feelCrowdBelow(took, track.calmCalls);
+            boolean crowded = crowdedBelow(took, track.calmCalls);
             if (outcome == Outcome.OK) {
                 callOutOfHand();
                 Span target = target(track);
@@ -546,7 +546,8 @@
                     if (count * 2 >= limit) {
                         limit = Math.min(200, limit + 1);
                     }
-                    if (calmCall) {
+                    // Of slow calls few count as calm, or the median would follow the crowd.
+                    if (calmCall && (!crowded || number % 8 == 0)) {
                         track.calmCalls.add(took.seconds());
                     }
                 } else {
@@ -697,11 +698,8 @@
     /** The share of its speed that a machine has for certain: it starts cold and rises evenly. */
     private double speedNow() {
         double ramp = settings.number("rules.ramp_time_ns", 0);
-        if (!settings.is("domain.cold", "true") || ramp <= 0) {
-            return 1;
-        }
-        double from = settings.number("rules.cold_share", 1);
-        return Math.min(1, from + (1 - from) * server.now().since(born).nanos() / ramp);
+        double from = settings.is("domain.cold", "true") ? settings.number("rules.cold_share", 1) : 1;
+        return Math.min(1, from + (1 - from) * server.now().since(born).nanos() / Math.max(1, ramp));
     }
 
     /** What a second of work on a standard core takes here: more on slow and cold machines. */
@@ -726,11 +724,12 @@
      * The told share is what a shared dependency survives; it slows down long before. So the calls in hand
      * that are allowed shrink, to a fifth, by as much as a call takes longer than three calm medians.
      */
-    private void feelCrowdBelow(Span took, Histogram calm) {
+    private boolean crowdedBelow(Span took, Histogram calm) {
         double least = toldShare * LEAST_CALLS;
         double slack = calm.weight() < ENOUGH ? 1 : 3 * calm.median() / Math.max(1e-9, took.seconds());
         callsAllowed = slack < 1 ? Math.max(least, callsAllowed * slack)
                 : Math.min(toldShare, callsAllowed + least * least / callsAllowed);
+        return slack < 1;
     }
 
     /** What a call takes just now; while none is out nothing is known, and one is always tried. */
