--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -122,6 +122,7 @@
     private final double toldShare;
     private double callsAllowed;
     private Moment nextCall;
+    private double usualCall;
     private final boolean canStop;
     private final Alarms alarms;
     private long order;
@@ -254,10 +255,7 @@
         }
     }
 
-    /**
-     * Exception to the immediate bounce: one customer's burst fills the single count. At the limit, a ticket
-     * within its customer's share takes the place of a held one beyond it, which is bounced instead.
-     */
+    /** Exception: a burst fills the single count. At the limit one within a share replaces one beyond. */
     private boolean makeRoom(Held held) {
         Optional<Held> beyond = held.overShare ? Optional.empty()
                 : hold.descendingSet().stream().filter(h -> h.overShare && h.counted).findFirst();
@@ -611,15 +609,18 @@
         }
 
         /**
-         * Rule 4: less than one call is kept by a pause after each. At half a share below one, with no call
-         * longer than half of what it lets through in the time averaged over, no such time can hold more than
-         * the share, also when all calls turn slow at once.
+         * Rule 4: less than one call is kept by a pause after each, by its own length for the share, by what
+         * calls took lately for what is allowed of it: one caught in a jam says little of the next. With no
+         * call longer than half of what the share lets through in the time averaged over, all nodes together
+         * stay under what is survived, also when all calls turn slow at once.
          */
         private void callOutOfHand() {
             callsInHand--;
-            double pace = toldShare < 1 ? Math.min(callsAllowed, toldShare / 2) : callsAllowed;
-            if (pace < 1) {
-                nextCall = server.now().plus(server.now().since(calledAt).times(1 / pace - 1));
+            double took = server.now().since(calledAt).seconds();
+            usualCall = usualCall > 0 ? Math.sqrt(usualCall * took) : took;
+            if (callsAllowed < 1) {
+                double pause = Math.max(took / Math.min(1, toldShare), usualCall / callsAllowed);
+                nextCall = calledAt.plus(Span.ofSeconds(pause));
                 alarms.at(nextCall, () -> { });
             }
         }
