--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -473,9 +473,7 @@
                 callGivenUp();
             }
             leaveCores();
-            if (outcome == Outcome.OK && !answered && !due.isBefore(server.now())) {
-                track.satisfied++;
-            }
+            track.satisfied += outcome == Outcome.OK && !answered && !due.isBefore(server.now()) ? 1 : 0;
             if (outcome == Outcome.OK && wasRunning) {
                 track.cost.add(got);
                 if (ticket.work().isPositive()) {
@@ -658,20 +656,22 @@
         // of cost could never be put right. What was read too late leaves the cores to reading, to catch up.
         double free = cores - onCores;
         for (Held held : hold) {
-            if (free-- >= 1 && !held.tooOld() && (!held.track.says.calls() || waitsToCall.isEmpty())) {
+            boolean waits = held.track.says.calls() && (pausing() || !waitsToCall.isEmpty());
+            if (free-- >= 1 && !held.tooOld() && !waits) {
                 continue;
             }
             soFar.add(held);
             ahead += held.cost();
             double needs = (running + ahead) / cores + held.cost();
-            if (held.track.says.calls() && waitsToCall.size() > 0) {
-                long before = waitsToCall.stream().filter(other -> other.gain() >= held.gain()).count();
-                needs += callTime().seconds() * held.track.callsEach() * (1 + before / callsAllowed);
-            }
+            long before = !waits ? 0 : open.values().stream()
+                    .filter(other -> other.ran && other.counted && other.gain() >= held.gain()).count();
+            double below = !waits ? 0 : Math.max(usualCall, callTime().seconds()) * held.track.callsEach()
+                    * (1 + before / callsAllowed);
             double left = held.due.since(server.now()).seconds();
-            boolean fresh = left > held.due.since(held.reached).seconds() * 0.9;
-            if (needs > (fresh ? left * ROOMY : left)) {
-                Held least = soFar.poll();
+            left *= left > held.due.since(held.reached).seconds() * 0.9 ? ROOMY : 1;
+            if (needs + below > left) {
+                Held least = needs > left ? soFar.peek() : held; // not another where only calls are short
+                soFar.remove(least);
                 ahead -= least.cost();
                 gone.add(least);
             }
@@ -782,10 +782,9 @@
     @Override
     public void wake(Gauges gauges) {
         advanceGiven();
-        if (onCores > 0 && !Double.isNaN(gauges.wantingCore())) {
-            double seen = Math.max(0.3, Math.min(1, gauges.wantingCore() / onCores));
-            wanting += (seen - wanting) / MEMORY_OF;
-        }
+        boolean seen = onCores > 0 && !Double.isNaN(gauges.wantingCore());
+        double part = seen ? Math.max(0.3, Math.min(1, gauges.wantingCore() / onCores)) : wanting;
+        wanting += (part - wanting) / MEMORY_OF;
         connections = gauges.connections();
         alarms.ring();
     }
