--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -93,32 +93,21 @@
                 """);
     }
 
+    /** Neither a cold machine's ceiling nor a machine thought far too slow keeps a free core from trying. */
     @Test
-    void aColdMachineRunsFewer() {
-        machine.set("domain.cold=true rules.cold_share=0.2 rules.ramp_time_ns=10000000000")
-                .set("rules.fall_multiple=1.1").start();
-        for (int i = 0; i < 3; i++) {
-            machine.arrive(Machine.LOCAL);
-        }
-        assertThat(machine.printed()).isEqualTo("""
-                0 run 1
-                0 log bounce 3: would wait in vain
-                0 bounce 3, come back later
-                """);
-    }
-
-    @Test
-    void aMachineThoughtTooSlowStillTriesOnAFreeCore() {
-        machine.set("domain.cold=true rules.cold_share=0.01 rules.ramp_time_ns=10000000000")
-                .set("rules.fall_multiple=9").start();
-        for (int i = 0; i < 3; i++) {
-            machine.arrive(Machine.LOCAL);
+    void aColdMachineRunsFewerButStillTriesOnAFreeCore() {
+        for (String cold : new String[] {"0.2 rules.fall_multiple=1.1", "0.01 rules.fall_multiple=9"}) {
+            Machine one = new Machine().set("domain.cold=true rules.ramp_time_ns=10000000000")
+                    .set("rules.cold_share=" + cold).start();
+            for (int i = 0; i < 3; i++) {
+                one.arrive(Machine.LOCAL);
+            }
+            assertThat(one.printed()).isEqualTo("""
+                    0 run 1
+                    0 log bounce 3: would wait in vain
+                    0 bounce 3, come back later
+                    """);
         }
-        assertThat(machine.printed()).isEqualTo("""
-                0 run 1
-                0 log bounce 3: would wait in vain
-                0 bounce 3, come back later
-                """);
     }
 
     @Test
@@ -238,9 +227,8 @@
     void callsThatTurnSlowAreMadeLessOftenThanOneAtATime() {
         patient().set("domain.calls_out=1").start();
         machine.calm(100);
-        for (int i = 0; i < 3; i++) {
-            machine.call(machine.arrive(Machine.PURE), 2000, Outcome.OK);
-        }
+        machine.call(machine.arrive(Machine.PURE), 2000, Outcome.OK);
+        machine.call(machine.arrive(Machine.PURE), 2000, Outcome.OK);
         assertThat(machine.printed()).isEqualTo("""
                 800 run 9
                 800 call 9
--- a/src/test/java/lupinwood/DrillTest.java
+++ b/src/test/java/lupinwood/DrillTest.java
@@ -3,9 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
+import java.io.*;
 import java.nio.ByteBuffer;
 import java.util.HexFormat;
 import lupinwood.sim.Drill;
