--- a/src/main/java/lupinwood/node/Alarms.java
+++ b/src/main/java/lupinwood/node/Alarms.java
@@ -25,21 +25,26 @@
         at(server.now().plus(span), job);
     }
 
-    /** Does what is due. */
+    /** Does what is due. A machine with a coarser clock may wake a trifle early: what was asked for is spent. */
     public void ring() {
-        if (!server.now().isBefore(asked)) {
-            asked = Moment.NEVER;
-        }
+        asked = Moment.NEVER;
         while (!queue.isEmpty() && !server.now().isBefore(queue.peek().at())) {
             queue.poll().job().run();
         }
     }
 
-    /** Asks for a wake-up if the soonest alarm is due before the one asked for. */
+    /**
+     * Asks for a wake-up if the soonest alarm is due before the one asked for. What is due already is asked
+     * for at the next moment: no machine hears of a wake-up in the past.
+     */
     public void arm() {
         Alarm next = queue.peek();
-        if (next != null && next.at().isBefore(asked)) {
-            asked = next.at();
+        Moment soonest = server.now().plus(new Span(1));
+        if (next != null && soonest.isBefore(next.at())) {
+            soonest = next.at();
+        }
+        if (next != null && soonest.isBefore(asked)) {
+            asked = soonest;
             server.wakeAt(asked);
         }
     }
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Map;
 import lupinwood.node.*;
 import org.junit.jupiter.api.Test;
 
@@ -311,6 +312,27 @@
         }
     }
 
+    @Test
+    void aWakeUpThatComesATrifleEarlyIsAskedForAgain() {
+        Alarms alarms = new Alarms(machine);
+        alarms.in(new Span(1_000), () -> machine.log("rung"));
+        alarms.arm();
+        alarms.ring();
+        alarms.arm();
+        assertThat(machine.wakes).containsExactly(Map.entry(1_000_001_000L, 2));
+    }
+
+    @Test
+    void aTicketWhoseCallerIsAllButGoneAsksForNoWakeUpInThePast() {
+        machine.start();
+        machine.patience = Span.ofSeconds(0.001);
+        machine.arrive(Machine.LOCAL);
+        assertThat(machine.printed()).isEqualTo("""
+                0 log bounce 1: would wait in vain
+                0 bounce 1, come back later, ask no other
+                """);
+    }
+
     @Test
     void manyOpenConnectionsAreClosedSoonerWhenIdle() {
         machine.set("domain.keepalive_max_ns=10000000000").start();
--- a/src/test/java/lupinwood/Machine.java
+++ b/src/test/java/lupinwood/Machine.java
@@ -16,10 +16,11 @@
     final Map<Long, Handle> handles = new HashMap<>();
     /** Who listens to each decision, to check it by another reckoning. */
     Consumer<String> listener = line -> {};
-    private final TreeMap<Long, Integer> wakes = new TreeMap<>();
+    final TreeMap<Long, Integer> wakes = new TreeMap<>();
     private long nanos = 1_000_000_000L;
     private long nextId = 1;
     Gauges gauges = Gauges.UNKNOWN;
+    Span patience = Span.ZERO;
     Brain brain;
 
     /** Two cores, four tracks (pure, receipted and effectful that call, and one that never does). */
@@ -60,7 +61,7 @@
         long id = nextId++;
         TicketId repeats = original == 0 ? null : new TicketId(original);
         handles.put(id, brain.take(new Ticket(new TicketId(id), new TrackId(track), new CustomerId(customer),
-                new SubjectId(0), new CallerId(1), Span.ZERO, Span.ZERO, memoryKb, 0.5, Span.ZERO, repeats)));
+                new SubjectId(0), new CallerId(1), patience, Span.ZERO, memoryKb, 0.5, Span.ZERO, repeats)));
         brain.settle();
         return id;
     }
@@ -178,6 +179,9 @@
 
     @Override
     public void wakeAt(Moment moment) {
+        if (moment.nanos() <= nanos) {
+            throw new IllegalArgumentException("a wake-up in the past is never heard");
+        }
         wakes.merge(moment.nanos(), 1, Integer::sum);
     }
 
