--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -656,17 +656,16 @@
         // of cost could never be put right. What was read too late leaves the cores to reading, to catch up.
         double free = cores - onCores;
         for (Held held : hold) {
-            boolean waits = held.track.says.calls() && (pausing() || !waitsToCall.isEmpty());
+            boolean waits = held.track.says.calls() && !waitsToCall.isEmpty() && callsAllowed < toldShare / 2;
             if (free-- >= 1 && !held.tooOld() && !waits) {
                 continue;
             }
             soFar.add(held);
             ahead += held.cost();
             double needs = (running + ahead) / cores + held.cost();
-            long before = !waits ? 0 : open.values().stream()
-                    .filter(other -> other.ran && other.counted && other.gain() >= held.gain()).count();
-            double below = !waits ? 0 : Math.max(usualCall, callTime().seconds()) * held.track.callsEach()
-                    * (1 + before / callsAllowed);
+            long before = waitsToCall.stream().filter(other -> other.gain() >= held.gain()).count();
+            double below = !waits ? 0
+                    : callTime().seconds() * held.track.callsEach() * (1 + before / callsAllowed);
             double left = held.due.since(server.now()).seconds();
             left *= left > held.due.since(held.reached).seconds() * 0.9 ? ROOMY : 1;
             if (needs + below > left) {
