--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -31,7 +31,7 @@
     }
 
     @Test
-    void aRepeatIsServedFromItsOriginalAndNeverRun() {
+    void aRepeatIsServedFromItsOriginalOrFailsWithItAndIsNeverRun() {
         machine.start();
         long first = machine.arrive(Machine.RECEIPTED);
         long during = machine.arrive(Machine.RECEIPTED, first, 10, 0);
@@ -39,24 +39,17 @@
         machine.tell(during, handle -> handle.ended(Outcome.OK, Span.ZERO));
         machine.pass(7000);
         machine.arrive(Machine.RECEIPTED, first, 10, 0);
+        long broken = machine.arrive(Machine.RECEIPTED);
+        machine.tell(broken, handle -> handle.ended(Outcome.ERROR, Span.ZERO));
+        machine.arrive(Machine.RECEIPTED, broken, 10, 0);
         assertThat(machine.printed()).isEqualTo("""
                 0 remember 1
                 0 run 1
                 0 reuse for 2
                 7000 reuse for 3
-                """);
-    }
-
-    @Test
-    void aRepeatOfWhatFailedAfterItsRunFailsToo() {
-        machine.start();
-        long first = machine.arrive(Machine.RECEIPTED);
-        machine.tell(first, handle -> handle.ended(Outcome.ERROR, Span.ZERO));
-        machine.arrive(Machine.RECEIPTED, first, 10, 0);
-        assertThat(machine.printed()).isEqualTo("""
-                0 remember 1
-                0 run 1
-                0 fail 2
+                7000 remember 4
+                7000 run 4
+                7000 fail 5
                 """);
     }
 
@@ -94,7 +87,6 @@
                 """);
     }
 
-    /** Neither a cold machine's ceiling nor a machine thought far too slow keeps a free core from trying. */
     @Test
     void aColdMachineRunsFewerButStillTriesOnAFreeCore() {
         for (String cold : new String[] {"0.2 rules.fall_multiple=1.1", "0.01 rules.fall_multiple=9"}) {
--- a/src/test/java/lupinwood/Machine.java
+++ b/src/test/java/lupinwood/Machine.java
@@ -82,7 +82,6 @@
         tell(id, handle -> handle.callEnded(outcome, Span.ofSeconds(millis / 1e3)));
     }
 
-    /** Calm calls enough for a median. */
     void calm(int millis) {
         for (int i = 0; i < 8; i++) {
             long id = arrive(PURE);
--- a/src/test/java/lupinwood/StrainTest.java
+++ b/src/test/java/lupinwood/StrainTest.java
@@ -81,7 +81,6 @@
                 known.original = 0;
             }
         }
-        // The id that the machine will give is the next one.
         all.put(all.size() + 1L, known);
         machine.arrive(known.track, known.original, known.memory, 0);
     }
