--- a/src/main/java/lupinwood/node/Alarms.java
+++ b/src/main/java/lupinwood/node/Alarms.java
@@ -25,7 +25,7 @@
         at(server.now().plus(span), job);
     }
 
-    /** Does what is due. A machine with a coarse clock may wake a trifle early; what was asked for is spent. */
+    /** Does what is due. A coarse clock may wake a trifle early; what was asked for is spent. */
     public void ring() {
         asked = Moment.NEVER;
         while (!queue.isEmpty() && !server.now().isBefore(queue.peek().at())) {
