--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -663,7 +663,8 @@
             soFar.add(held);
             ahead += held.cost();
             double needs = (running + ahead) / cores + held.cost();
-            long before = waitsToCall.stream().filter(other -> other.gain() >= held.gain()).count();
+            long before = !waits ? 0
+                    : waitsToCall.stream().filter(other -> other.gain() >= held.gain()).count();
             double below = !waits ? 0
                     : callTime().seconds() * held.track.callsEach() * (1 + before / callsAllowed);
             double left = held.due.since(server.now()).seconds();
