--- a/src/main/java/lupinwood/cli/Main.java
+++ b/src/main/java/lupinwood/cli/Main.java
@@ -1,20 +1,13 @@
 package lupinwood.cli;
 
-import java.io.FileDescriptor;
-import java.io.FileInputStream;
-import java.io.FileOutputStream;
-import java.io.IOException;
-import lupinwood.Brain;
-import lupinwood.sim.Drill;
-import lupinwood.sim.MalformedFrame;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.util.Map;
 
 /** Entry point of the jar. */
 public final class Main {
-    private static final String USAGE =
-            """
-            usage: java -jar lupinwood.jar COMMAND
-              drill   play the decisions on the simulator's wire, on standard input and output
-              help    print this text""";
+    private static final String NAME = "lupinwood";
+    private static final int USAGE = 2;
 
     private Main() {}
 
@@ -23,30 +16,29 @@
     }
 
     private static int run(String[] args) {
-        String command = args.length == 0 ? "" : args[0];
-        if (command.equals("help") || command.equals("--help")) {
-            System.out.println(USAGE);
-            return 0;
-        }
-        if (!command.equals("drill")) {
-            String what = command.isEmpty() ? "no command given" : "unknown command '" + command + "'";
-            System.err.println("lupinwood: " + what + "; 'help' lists the commands");
-            return 2;
-        }
-        if (args.length > 1) {
-            System.err.println("lupinwood: drill takes no arguments, got '" + args[1] + "'");
-            return 2;
-        }
+        Map<String, Command> commands = Map.of("serve", new Serve(), "version", new Version(), "drill", new DrillCommand());
+        JCommander parser = JCommander.newBuilder().programName(NAME).build();
+        Help help = new Help();
+        parser.addObject(help);
+        parser.addCommand("help", help);
+        commands.forEach(parser::addCommand);
         try {
-            new Drill(Brain::new)
-                    .play(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out));
+            parser.parse(args);
+        } catch (ParameterException e) {
+            System.err.println(NAME + ": " + e.getMessage() + "; 'help' lists the commands");
+            return USAGE;
+        }
+        String command = parser.getParsedCommand();
+        if (help.asked || "help".equals(command)) {
+            StringBuilder usage = new StringBuilder();
+            parser.getUsageFormatter().usage(usage);
+            System.out.print(usage);
             return 0;
-        } catch (MalformedFrame e) {
-            System.err.println("lupinwood: malformed frame: " + e.getMessage());
-            return 1;
-        } catch (IOException e) {
-            System.err.println("lupinwood: the wire broke: " + e.getMessage());
-            return 1;
         }
+        if (command == null) {
+            System.err.println(NAME + ": no command given; 'help' lists the commands");
+            return USAGE;
+        }
+        return commands.get(command).run();
     }
 }
--- /dev/null
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -0,0 +1,66 @@
+package lupinwood.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import lupinwood.Brain;
+import lupinwood.log.LibraryLogs;
+import lupinwood.log.Log;
+import lupinwood.net.NodeConfig;
+import lupinwood.net.Serving;
+
+/** Runs one real node until SIGTERM, then leaves in good order. */
+@Parameters(commandDescription = "Serve as a node, on sockets, until SIGTERM")
+final class Serve implements Command {
+    private static final int UNUSABLE = 2;
+    private static final int FAILED = 1;
+
+    @Parameter(names = "--config", description = "The node's configuration; else what RELAY_CONFIG names")
+    private String file;
+
+    @Override
+    public int run() {
+        String path = file != null ? file : System.getenv("RELAY_CONFIG");
+        if (path == null || path.isEmpty()) {
+            System.err.println("lupinwood: no configuration: give --config or set RELAY_CONFIG");
+            return UNUSABLE;
+        }
+        NodeConfig config;
+        try {
+            config = NodeConfig.read(Path.of(path));
+        } catch (NodeConfig.Unusable e) {
+            System.err.println("lupinwood: " + e.getMessage());
+            return UNUSABLE;
+        }
+        Log log = Log.start();
+        LibraryLogs.sendTo(log);
+        Serving serving = new Serving(config, Brain::new, log);
+        try {
+            serving.start();
+        } catch (IOException e) {
+            System.err.println("lupinwood: can't listen on " + config.listen() + ": " + e.getMessage());
+            return FAILED;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(serving, log), "leave"));
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return 0;
+    }
+
+    /** Runs on SIGTERM. Halting, and not returning, ends the process with 0: all went as it was asked to. */
+    private static void leave(Serving serving, Log log) {
+        int status = 0;
+        try {
+            serving.leave();
+        } catch (InterruptedException e) {
+            status = FAILED;
+        }
+        log.drain();
+        Runtime.getRuntime().halt(status);
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/core/Dispatchers.java
@@ -0,0 +1,11 @@
+package lupinwood.core;
+
+/** What the host says to dispatchers. */
+public interface Dispatchers {
+    void answer(ConnectionId connection, long tag, Answer answer);
+
+    /** Ask that no new ticket be sent on this connection. */
+    void sayNoMore(ConnectionId connection);
+
+    void close(ConnectionId connection, Ending why);
+}
--- /dev/null
+++ b/src/main/java/lupinwood/core/Ending.java
@@ -0,0 +1,52 @@
+package lupinwood.core;
+
+import lupinwood.node.Outcome;
+
+/**
+ * Every way in which a run, a call or a connection can end. The outcome that the node hears is settled here and
+ * nowhere else, and with it what proves that nothing ran.
+ */
+public enum Ending {
+    /** The run or the call went well. */
+    WELL(Outcome.OK),
+    /** The run failed. */
+    FAILED(Outcome.ERROR),
+    /** The executor would not carry out the command. */
+    NOT_CARRIED_OUT(Outcome.ERROR),
+    /** The run was stopped, or ended at a call since its ticket is over. */
+    STOPPED(Outcome.CANCELLED),
+    /** Nothing was started: the ticket was over. */
+    NOTHING_STARTED(Outcome.MOOT),
+    /** The index turned the call away unseen. */
+    SHED(Outcome.REFUSED),
+    /** The index failed the call; it may have had its effect. */
+    FAILED_BELOW(Outcome.BROKEN),
+    /** The index gave the call up; it may have had its effect. */
+    SLOW_BELOW(Outcome.TIMED_OUT),
+    /** No run waits for the call: it never ran. */
+    NOBODY_WAITS(Outcome.MOOT),
+    /** This node gave the call up at its cap. */
+    GIVEN_UP(Outcome.TIMED_OUT),
+    /** The connection was refused: nothing was sent on it. */
+    CONNECTION_REFUSED(Outcome.UNREACHABLE),
+    /** The connection never came about: nothing was sent on it. */
+    NEVER_CONNECTED(Outcome.UNREACHABLE),
+    /** The other side closed or reset the connection; what was under way on it may have run. */
+    CLOSED_BY_PEER(Outcome.BROKEN),
+    /** The other side sent what can't be read. */
+    MALFORMED(Outcome.BROKEN),
+    /** The other side didn't read what was written to it. */
+    SLOW_READER(Outcome.BROKEN),
+    /** This node closed the connection. */
+    CLOSED_HERE(Outcome.BROKEN);
+
+    private final Outcome outcome;
+
+    Ending(Outcome outcome) {
+        this.outcome = outcome;
+    }
+
+    public Outcome outcome() {
+        return outcome;
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/core/Executor.java
@@ -0,0 +1,15 @@
+package lupinwood.core;
+
+/** What the host asks of the executor. Nothing is said while there is no link. */
+public interface Executor {
+    /** Start a run; false where there is no link to ask on, and so nothing can have started. */
+    boolean run(TryId id, String track, byte[] body);
+
+    /** Hand a run the reply to the call that it waits for. */
+    void giveReply(TryId id, byte[] reply);
+
+    void askGauges(long tag);
+
+    /** Do the work of a deep health check. */
+    void checkDeep(long tag);
+}
--- /dev/null
+++ b/src/main/java/lupinwood/core/Host.java
@@ -0,0 +1,604 @@
+package lupinwood.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import lupinwood.node.CustomerId;
+import lupinwood.node.Gauges;
+import lupinwood.node.Moment;
+import lupinwood.node.Node;
+import lupinwood.node.Server;
+import lupinwood.node.Span;
+import lupinwood.node.Ticket;
+import lupinwood.node.TicketId;
+import lupinwood.node.TrackId;
+
+/**
+ * The machine as its node sees it. News is told to this by one thread, which sets the time first with
+ * {@link #advance} and ends each round of news with {@link #settle}.
+ */
+public final class Host implements Server {
+    /** Makes the node once the executor is up. */
+    public interface Maker {
+        Node make(Server server, long seed, Map<String, String> settings);
+    }
+
+    /** How much this may keep; none of it is the node's own reckoning of memory. */
+    public record Bounds(int connections, int tickets, long receiptBytes) {}
+
+    /** Where results go. */
+    public record Ports(Dispatchers dispatchers, Executor executor, Index index, Consumer<String> log) {}
+
+    /** A wake-up waits so long for gauges read anew before it does without. */
+    private static final Span GAUGES_WAIT = Span.ofSeconds(0.02);
+    /** A dispatcher that asked for a deep check hears by then at the latest. */
+    private static final Span DEEP_WAIT = Span.ofSeconds(1);
+    private static final int MOST_DEEP = 64;
+    private static final int MOST_BODY = 2048;
+    private static final int MOST_KB = 2000;
+
+    private record DeepCheck(ConnectionId connection, long tag, Deadlines.Deadline deadline) {}
+
+    private final Map<String, String> settings;
+    private final long seed;
+    private final Maker maker;
+    private final Ports ports;
+    private final Deadlines deadlines;
+    private final Connections connections;
+    private final Slots<Taken> tickets;
+    private final Map<TryId, Taken> byTry = new HashMap<>();
+    private final Receipts receipts;
+    private final Map<String, Integer> tracks = new HashMap<>();
+    private final Map<String, Integer> customers = new HashMap<>();
+    private final List<String> gaugeNames;
+    private final Map<Long, DeepCheck> deepChecks = new HashMap<>();
+    /** News of the host's own making, told once the node has said all it has to say. */
+    private final Deque<Runnable> news = new ArrayDeque<>();
+
+    private Moment now;
+    private Node node;
+    private double advice = -1;
+    private boolean good = true;
+    private boolean fromStore;
+    private boolean leaving;
+    private long lastTag;
+    /** The tag under which gauges were asked for a wake-up, or 0. */
+    private long wakeTag;
+    private Deadlines.Deadline wake;
+    private Deadlines.Deadline wakeAnyway;
+    private Gauges gauges = Gauges.UNKNOWN;
+    /** The tag whose gauges, when they come, prove that all commands before were read; by link. */
+    private long replayTag;
+
+    public Host(Map<String, String> settings, long seed, Maker maker, Ports ports, Deadlines deadlines,
+            Bounds bounds, Moment now) {
+        this.settings = settings;
+        this.seed = seed;
+        this.maker = maker;
+        this.ports = ports;
+        this.deadlines = deadlines;
+        this.now = now;
+        connections = new Connections(bounds.connections(), ports.dispatchers(), deadlines);
+        tickets = new Slots<>(bounds.tickets());
+        receipts = new Receipts(bounds.receiptBytes());
+        number("services", tracks);
+        number("customers", customers);
+        gaugeNames = List.of(settings.getOrDefault("domain.gauges", "").split(","));
+    }
+
+    private void number(String list, Map<String, Integer> places) {
+        int count = Integer.parseInt(settings.getOrDefault(list + ".count", "0"));
+        for (int i = 0; i < count; i++) {
+            places.put(settings.getOrDefault(list + "." + i + ".name", ""), i);
+        }
+    }
+
+    // ---- time ----
+
+    /** Sets the time; a clock that was set back stands still until it is caught up with. */
+    public void advance(Moment moment) {
+        now = now.isBefore(moment) ? moment : now;
+    }
+
+    /** All that came in at this moment has been told. */
+    public void settle() {
+        if (node != null) {
+            node.settle();
+            while (!news.isEmpty()) {
+                news.poll().run();
+                if (news.isEmpty()) {
+                    node.settle();
+                }
+            }
+        }
+    }
+
+    // ---- dispatchers ----
+
+    /** A place for a new connection, or null where there is none. */
+    public ConnectionId connected() {
+        return connections.add(now);
+    }
+
+    /** The connection can be written to now. */
+    public void greet(ConnectionId connection) {
+        connections.greet(connection);
+    }
+
+    public void halfClosed(ConnectionId connection) {
+        connections.halfClosed(connection);
+    }
+
+    /** Nobody waits any more for what was open on it. */
+    public void disconnected(ConnectionId connection) {
+        connections.remove(connection).forEach(this::left);
+    }
+
+    /**
+     * A ticket came; null where it can't be read. False where the tag is still open: the dispatcher has lost count,
+     * and no answer could be told apart.
+     */
+    public boolean arrived(ConnectionId connection, long tag, Arrival arrival) {
+        if (connections.isOpen(connection, tag)) {
+            return false;
+        }
+        if (node == null || connections.isFull(connection) || tickets.isFull()) {
+            String why = node == null ? "before the executor was up" : "beyond what may be open";
+            ports.log().accept("bounced a ticket that came " + why);
+            Span pause = Span.ofSeconds(node == null ? 1 : 0);
+            ports.dispatchers().answer(connection, tag, Answer.bounced(advice, pause, false));
+            return true;
+        }
+        String fault = fault(arrival);
+        if (fault != null) {
+            ports.log().accept("abandoned a ticket " + fault);
+            ports.dispatchers().answer(connection, tag, Answer.plain(Answer.Word.ABANDONED, advice));
+            return true;
+        }
+        Taken taken = new Taken(connection, tag, arrival);
+        taken.id = new TicketId(tickets.put(taken));
+        byTry.put(arrival.tryId(), taken);
+        connections.begin(connection, tag, taken.id);
+        take(taken, tracks.get(arrival.track()));
+        return true;
+    }
+
+    /** Why a ticket can't be taken, or null. */
+    private String fault(Arrival arrival) {
+        if (arrival == null) {
+            return "that can't be read";
+        }
+        if (!tracks.containsKey(arrival.track())) {
+            return "of no known track";
+        }
+        if (byTry.containsKey(arrival.tryId())) {
+            return "named like another";
+        }
+        boolean sound = arrival.memoryKb() > 0 && arrival.memoryKb() < MOST_KB && arrival.rank() >= 0
+                && arrival.rank() < 1 && arrival.body().length <= MOST_BODY;
+        return sound ? null : "out of bounds";
+    }
+
+    private void take(Taken taken, int track) {
+        Arrival arrival = taken.arrival;
+        taken.original = receipts.find(arrival.receipt(), arrival.reached());
+        Span waited = now.since(arrival.reached()).max(Span.ZERO);
+        // A customer that isn't in the settings has no share that could be reckoned.
+        CustomerId customer = new CustomerId(customers.getOrDefault(arrival.customer(), customers.size()));
+        taken.handle = node.take(new Ticket(taken.id, new TrackId(track), customer, arrival.subject(),
+                arrival.caller(), Span.ZERO, Span.ZERO, arrival.memoryKb(), arrival.rank(), waited,
+                taken.original == null ? null : taken.original.ticket));
+    }
+
+    /** The dispatcher waits no more for it. */
+    public void aborted(ConnectionId connection, long tag) {
+        TicketId ticket = connections.open(connection, tag);
+        if (ticket != null) {
+            connections.end(connection, tag, now);
+            left(ticket);
+        }
+    }
+
+    private void left(TicketId id) {
+        Taken taken = tickets.get(id.number());
+        if (taken != null && !taken.answered) {
+            taken.answered = true;
+            askIfUnsure(taken);
+            taken.handle.left();
+        }
+    }
+
+    public void checked(ConnectionId connection, long tag, boolean real) {
+        if (node != null && real && !fromStore && deepChecks.size() < MOST_DEEP) {
+            long deep = ++lastTag;
+            deepChecks.put(deep, new DeepCheck(connection, tag,
+                    deadlines.at(now.plus(DEEP_WAIT), () -> diagnosed(deep, false))));
+            ports.executor().checkDeep(deep);
+        } else {
+            sayHealth(connection, tag, node != null && good);
+        }
+    }
+
+    private void sayHealth(ConnectionId connection, long tag, boolean well) {
+        ports.dispatchers().answer(connection, tag,
+                Answer.plain(well ? Answer.Word.GOOD : Answer.Word.NOT_GOOD, advice));
+    }
+
+    private void answer(Taken taken, Answer answer) {
+        if (!taken.answered) {
+            taken.answered = true;
+            ports.dispatchers().answer(taken.connection, taken.tag, answer);
+            connections.end(taken.connection, taken.tag, now);
+        }
+    }
+
+    // ---- executor ----
+
+    /** A link stands. The first makes the node, whose life began when the executor's did. */
+    public void welcomed(boolean cold, Span age) {
+        if (node != null) {
+            // Gauges asked for now come after all notices that were missed.
+            replayTag = ++lastTag;
+            ports.executor().askGauges(replayTag);
+            return;
+        }
+        Map<String, String> told = new HashMap<>(settings);
+        told.put("domain.cold", Boolean.toString(cold));
+        Moment present = now;
+        now = now.minus(age);
+        node = maker.make(this, seed, told);
+        now = present;
+        ports.log().accept("the executor is up, " + (cold ? "cold" : "warm"));
+    }
+
+    /**
+     * After a lost link: what was sent last may not have been read. A pure ticket's run may be asked for again, and a
+     * run that goes on ignores it; a receipted or effectful one might have ended just now and run twice, so it is
+     * only asked for again once answered, when the executor would start nothing.
+     */
+    private void sendAgain() {
+        tickets.forEach(taken -> {
+            if (taken.started && !taken.startKnown) {
+                taken.unsure = taken.sent && !taken.answered && !isPure(taken);
+                if (!taken.unsure) {
+                    askToRun(taken);
+                }
+            }
+            if (taken.unreadReply != null && !taken.answered) {
+                ports.executor().giveReply(taken.arrival.tryId(), taken.unreadReply);
+            }
+        });
+    }
+
+    private boolean isPure(Taken taken) {
+        return "pure".equals(settings.get("services." + tracks.get(taken.arrival.track()) + ".effect"));
+    }
+
+    public void exited(TryId id, Ending ending, Span took, byte[] result) {
+        Taken taken = byTry.get(id);
+        if (taken == null || !taken.started) {
+            return;
+        }
+        dropCall(taken);
+        Receipts.Receipt receipt = receipts.of(taken.id);
+        if (ending == Ending.WELL && receipt != null) {
+            receipts.keepResult(receipt, result);
+        }
+        answer(taken, ending == Ending.WELL ? Answer.satisfied(advice, result)
+                : Answer.plain(Answer.Word.ABANDONED, advice));
+        taken.handle.ended(ending.outcome(), took);
+        if (ending == Ending.WELL && receipt != null) {
+            receipt.over = true;
+            tellWaiting(receipt, result);
+        }
+    }
+
+    private void tellWaiting(Receipts.Receipt receipt, byte[] result) {
+        List<TicketId> waiting = new ArrayList<>(receipt.waiting);
+        receipt.waiting.clear();
+        waiting.forEach(id -> reused(id, result));
+    }
+
+    /** A repeat has its original's result, or null where there is none to be had. */
+    private void reused(TicketId id, byte[] result) {
+        Taken taken = tickets.get(id.number());
+        if (taken != null) {
+            answer(taken, result == null ? Answer.plain(Answer.Word.ABANDONED, advice)
+                    : Answer.satisfied(advice, result));
+            taken.handle.ended((result == null ? Ending.FAILED : Ending.WELL).outcome(), Span.ZERO);
+        }
+    }
+
+    public void calledOut(TryId id, byte[] body) {
+        Taken taken = byTry.get(id);
+        if (taken != null && taken.started) {
+            taken.startKnown = true;
+            taken.unreadReply = null;
+            taken.callBody = body;
+            taken.handle.needsCall();
+        }
+    }
+
+    /** The executor would not run it: that ends it. Of other commands only the log tells. */
+    public void notCarriedOut(String command, TryId id) {
+        ports.log().accept("the executor did not carry out " + command + " " + id.digits());
+        if (command.equals("EXEC")) {
+            exited(id, Ending.NOT_CARRIED_OUT, Span.ZERO, new byte[0]);
+        }
+    }
+
+    public void gaugesRead(long tag, double[] values) {
+        Map<String, Double> read = new HashMap<>();
+        for (int i = 0; i < values.length && i < gaugeNames.size(); i++) {
+            read.put(gaugeNames.get(i), values[i]);
+        }
+        double none = Double.NaN;
+        gauges = new Gauges(read.getOrDefault("core_use", none), read.getOrDefault("on_cores", none),
+                read.getOrDefault("heap_share", none), read.getOrDefault("links", none));
+        if (replayTag != 0 && tag == replayTag) {
+            replayTag = 0;
+            sendAgain();
+        } else if (replayTag == 0) {
+            tickets.forEach(taken -> {
+                taken.startKnown |= taken.sent && !taken.unsure && tag > taken.startedAfter;
+                taken.unreadReply = tag > taken.repliedAfter ? null : taken.unreadReply;
+            });
+        }
+        if (tag == wakeTag) {
+            wakeNow(gauges);
+        }
+    }
+
+    public void diagnosed(long tag, boolean well) {
+        DeepCheck check = deepChecks.remove(tag);
+        if (check != null) {
+            deadlines.callOff(check.deadline());
+            sayHealth(check.connection(), check.tag(), well && good);
+        }
+    }
+
+    // ---- index ----
+
+    public void callEnded(TryId id, Ending ending, byte[] reply) {
+        Taken taken = byTry.get(id);
+        if (taken == null || taken.calledAt == null) {
+            return;
+        }
+        Span took = now.since(taken.calledAt);
+        endCall(taken);
+        if (ending == Ending.WELL) {
+            taken.callBody = null;
+            taken.unreadReply = reply;
+            taken.repliedAfter = lastTag;
+            ports.executor().giveReply(id, reply);
+        }
+        taken.handle.callEnded(ending.outcome(), took);
+    }
+
+    private void endCall(Taken taken) {
+        deadlines.callOff(taken.callCap);
+        taken.callCap = null;
+        taken.calledAt = null;
+    }
+
+    private void dropCall(Taken taken) {
+        if (taken.calledAt != null) {
+            ports.index().giveUp(taken.arrival.tryId());
+            endCall(taken);
+        }
+    }
+
+    private void askToRun(Taken taken) {
+        taken.startedAfter = lastTag;
+        taken.sent = ports.executor().run(taken.arrival.tryId(), taken.arrival.track(), taken.arrival.body());
+    }
+
+    /** Once answered nothing can start any more, so asking is safe, and tells whether it runs. */
+    private void askIfUnsure(Taken taken) {
+        if (taken.unsure) {
+            taken.unsure = false;
+            askToRun(taken);
+        }
+    }
+
+    // ---- what the node asks ----
+
+    @Override
+    public Moment now() {
+        return now;
+    }
+
+    @Override
+    public void run(TicketId ticket) {
+        Taken taken = tickets.get(ticket.number());
+        if (taken != null) {
+            taken.started = true;
+            askToRun(taken);
+        }
+    }
+
+    /** The protocol of sites with a shared index has no command for it. */
+    @Override
+    public void stop(TicketId ticket) {
+        ports.log().accept("stopping a run is not in the protocol: ticket " + ticket.number());
+    }
+
+    @Override
+    public void bounce(TicketId ticket, boolean askNoOther, Span comeBackAfter) {
+        Taken taken = tickets.get(ticket.number());
+        if (taken != null) {
+            answer(taken, Answer.bounced(advice, comeBackAfter, askNoOther));
+        }
+    }
+
+    @Override
+    public void fail(TicketId ticket) {
+        Taken taken = tickets.get(ticket.number());
+        if (taken != null) {
+            dropCall(taken);
+            answer(taken, Answer.plain(Answer.Word.ABANDONED, advice));
+            askIfUnsure(taken);
+        }
+    }
+
+    @Override
+    public void call(TicketId ticket, Span cap) {
+        Taken taken = tickets.get(ticket.number());
+        if (taken != null && taken.callBody != null && taken.calledAt == null) {
+            TryId id = taken.arrival.tryId();
+            taken.calledAt = now;
+            taken.callCap = deadlines.at(now.plus(cap), () -> {
+                ports.index().giveUp(id);
+                callEnded(id, Ending.GIVEN_UP, null);
+            });
+            ports.index().call(id, cap, taken.callBody);
+        }
+    }
+
+    /** The protocol of sites with a shared index has no command for it, so the ticket can only fail. */
+    @Override
+    public void skipCall(TicketId ticket) {
+        news.add(() -> {
+            Taken taken = tickets.get(ticket.number());
+            if (taken != null) {
+                exited(taken.arrival.tryId(), Ending.NOT_CARRIED_OUT, Span.ZERO, new byte[0]);
+            }
+        });
+    }
+
+    @Override
+    public void reuse(TicketId ticket) {
+        news.add(() -> {
+            Taken taken = tickets.get(ticket.number());
+            if (taken == null) {
+                return;
+            }
+            Receipts.Receipt original = taken.original;
+            // Guards against one mark on two bodies: the other's result must not be handed out for this one.
+            boolean same = original != null && Arrays.equals(original.body, taken.arrival.body());
+            if (same && original.result == null && !original.over) {
+                original.waiting.add(ticket);
+            } else {
+                reused(ticket, same ? original.result : null);
+            }
+        });
+    }
+
+    @Override
+    public void remember(TicketId ticket, Span span) {
+        Taken taken = tickets.get(ticket.number());
+        if (taken == null || taken.arrival.receipt() == null) {
+            return;
+        }
+        Moment ends = now.plus(span);
+        Receipts.Receipt receipt = receipts.remember(taken.arrival.receipt(), ticket, ends, taken.arrival.body());
+        // A repeat that came in time may be read up to its abandon time later.
+        int track = tracks.get(taken.arrival.track());
+        long abandon = Long.parseLong(settings.getOrDefault("services." + track + ".give_up_ns", "0"));
+        deadlines.at(ends.plus(new Span(abandon)), () -> receipts.drop(receipt));
+    }
+
+    @Override
+    public void forget(TicketId ticket) {
+        Receipts.Receipt receipt = receipts.of(ticket);
+        if (receipt != null) {
+            receipts.drop(receipt);
+            news.add(() -> tellWaiting(receipt, null));
+        }
+    }
+
+    @Override
+    public void health(boolean isGood, boolean isFromStore) {
+        good = isGood;
+        fromStore = isFromStore;
+    }
+
+    @Override
+    public void advise(double value) {
+        advice = value;
+    }
+
+    @Override
+    public void closeIdle(Span idle) {
+        connections.closeIdle(idle);
+    }
+
+    @Override
+    public void wakeAt(Moment moment) {
+        deadlines.callOff(wake);
+        wake = deadlines.at(moment, () -> {
+            if (wakeTag == 0) {
+                wakeTag = ++lastTag;
+                ports.executor().askGauges(wakeTag);
+                // Guards against a link that is lost or slow: the node's alarms must not wait for it.
+                wakeAnyway = deadlines.at(now.plus(GAUGES_WAIT), () -> wakeNow(new Gauges(
+                        Double.NaN, Double.NaN, gauges.memoryShare(), gauges.connections())));
+            }
+        });
+    }
+
+    private void wakeNow(Gauges read) {
+        wakeTag = 0;
+        deadlines.callOff(wakeAnyway);
+        node.wake(read);
+    }
+
+    @Override
+    public void over(TicketId ticket) {
+        Taken taken = tickets.remove(ticket.number());
+        if (taken == null) {
+            return;
+        }
+        byTry.remove(taken.arrival.tryId(), taken);
+        dropCall(taken);
+        // Guards against a ticket that is over and yet owed an answer; none should be.
+        answer(taken, Answer.plain(Answer.Word.ABANDONED, advice));
+        Receipts.Receipt receipt = receipts.of(ticket);
+        if (receipt != null && receipt.result == null) {
+            receipt.over = true;
+            news.add(() -> tellWaiting(receipt, null));
+        }
+    }
+
+    @Override
+    public void log(String line) {
+        ports.log().accept(line);
+    }
+
+    // ---- leaving ----
+
+    /** The machine will be stopped after this long. */
+    public void leave(Span until) {
+        if (!leaving) {
+            leaving = true;
+            connections.leave();
+            if (node != null) {
+                node.leave(until);
+            }
+        }
+    }
+
+    /** Whether everything read has its answer. */
+    public boolean isAnswered() {
+        return connections.openTickets() == 0 && deepChecks.isEmpty();
+    }
+
+    public int connectionCount() {
+        return connections.size();
+    }
+
+    public boolean isHealthy() {
+        return node != null && good && !leaving;
+    }
+
+    /** What stands open, for the log. */
+    public String figures() {
+        return "connections " + connections.size() + ", open " + connections.openTickets() + ", tickets "
+                + tickets.size() + ", receipts " + receipts.size() + ", deadlines " + deadlines.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/core/Taken.java
@@ -0,0 +1,41 @@
+package lupinwood.core;
+
+import lupinwood.node.Handle;
+import lupinwood.node.Moment;
+import lupinwood.node.TicketId;
+
+/** A ticket in the table: where its answer goes, and how far its run and its call are. */
+final class Taken {
+    final ConnectionId connection;
+    final long tag;
+    final Arrival arrival;
+    TicketId id;
+    Handle handle;
+    /** The receipt of an earlier try, or null. */
+    Receipts.Receipt original;
+    /** An answer was given, or none is owed any more. */
+    boolean answered;
+    boolean started;
+    /** The command to run it was written to a link, so it may have been read. */
+    boolean sent;
+    /** Something was heard that proves that the executor read that command. */
+    boolean startKnown;
+    /** The command may have been lost with a link, and is not to be given again before an answer. */
+    boolean unsure;
+    /** The last tag asked about before the command to run it, and before the latest reply, was written. */
+    long startedAfter;
+    long repliedAfter;
+    /** The call that its run waits for, as it came; null while there is none. */
+    byte[] callBody;
+    /** The reply last handed to its run, until it is known to have been read. */
+    byte[] unreadReply;
+    /** When the call that is out was made; null while none is. */
+    Moment calledAt;
+    Deadlines.Deadline callCap;
+
+    Taken(ConnectionId connection, long tag, Arrival arrival) {
+        this.connection = connection;
+        this.tag = tag;
+        this.arrival = arrival;
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/core/TryId.java
@@ -0,0 +1,11 @@
+package lupinwood.core;
+
+/** The name that a dispatcher gives one try of a ticket: 16 hex digits, new with every try. */
+public record TryId(String digits) {
+    private static final int LENGTH = 16;
+
+    public static boolean isValid(String text) {
+        return text != null && text.length() == LENGTH
+                && text.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f');
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/net/Decider.java
@@ -0,0 +1,108 @@
+package lupinwood.net;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lupinwood.core.Deadlines;
+import lupinwood.core.Host;
+import lupinwood.log.Log;
+import lupinwood.node.Moment;
+
+/**
+ * The one deciding thread: it takes in what came, tells the host, settles once, then lets the writes go. Nothing else
+ * touches the host, the deadlines or the adapters' own state.
+ */
+final class Decider {
+    /** Where socket threads wait when deciding falls behind, which in turn lets the senders wait. */
+    private static final int MOST_NEWS = 2048;
+    private static final int MOST_AT_ONCE = 512;
+    private static final long LONGEST_WAIT = TimeUnit.SECONDS.toNanos(1);
+
+    private final BlockingQueue<Runnable> inbox = new ArrayBlockingQueue<>(MOST_NEWS);
+    /** What this thread tells itself: it must never wait for room in its own inbox. */
+    private final Deque<Runnable> own = new ArrayDeque<>();
+    private final List<Runnable> writers = new ArrayList<>();
+    private final Deadlines deadlines;
+    private final Log log;
+    private final Thread thread = new Thread(this::decide, "decider");
+    private Host host;
+
+    Decider(Deadlines deadlines, Log log) {
+        this.deadlines = deadlines;
+        this.log = log;
+    }
+
+    static Moment clock() {
+        Instant instant = Instant.now();
+        return new Moment(instant.getEpochSecond() * 1_000_000_000L + instant.getNano());
+    }
+
+    /** Called after each round, to write what gathered in it. */
+    void addWriter(Runnable writer) {
+        writers.add(writer);
+    }
+
+    void start(Host decidesFor) {
+        host = decidesFor;
+        thread.start();
+    }
+
+    void tell(Runnable news) {
+        if (Thread.currentThread() == thread) {
+            own.add(news);
+            return;
+        }
+        try {
+            inbox.put(news);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void decide() {
+        try {
+            while (true) {
+                round(await());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Runnable await() throws InterruptedException {
+        if (!own.isEmpty()) {
+            return own.poll();
+        }
+        long wait = Math.min(LONGEST_WAIT, deadlines.soonest().nanos() - clock().nanos());
+        return wait > 0 ? inbox.poll(wait, TimeUnit.NANOSECONDS) : inbox.poll();
+    }
+
+    private void round(Runnable first) {
+        host.advance(clock());
+        int told = 0;
+        for (Runnable news = first; news != null; news = ++told < MOST_AT_ONCE ? next() : null) {
+            guarded(news);
+        }
+        guarded(() -> deadlines.ring(host.now()));
+        guarded(host::settle);
+        writers.forEach(this::guarded);
+    }
+
+    private Runnable next() {
+        return own.isEmpty() ? inbox.poll() : own.poll();
+    }
+
+    /** Guards against one piece of news that can't be dealt with: it must not end all the others. */
+    private void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            log.problem("a step failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/net/DispatcherListener.java
@@ -0,0 +1,261 @@
+package lupinwood.net;
+
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.StringJoiner;
+import lupinwood.core.Answer;
+import lupinwood.core.Arrival;
+import lupinwood.core.ConnectionId;
+import lupinwood.core.Dispatchers;
+import lupinwood.core.Ending;
+import lupinwood.core.Host;
+import lupinwood.core.ReceiptKey;
+import lupinwood.core.TryId;
+import lupinwood.log.Log;
+import lupinwood.node.CallerId;
+import lupinwood.node.Moment;
+import lupinwood.node.SubjectId;
+import org.apache.mina.core.session.IoSession;
+
+/** The dispatchers' side: RESP arrays in, answers out. */
+final class DispatcherListener implements Dispatchers {
+    /** What may wait for one dispatcher to read: a whole set of the longest answers. */
+    private static final long MOST_WAITING = 160 * 1024;
+    /** What may wait for all together; past it whoever has more than a few answers waiting is cut off. */
+    private static final long MOST_WAITING_ALL = 12 * 1024 * 1024;
+    private static final long FEW = 16 * 1024;
+    private static final byte[] NOTHING = {};
+
+    private final Decider decider;
+    private final Log log;
+    private final Map<ConnectionId, Caller> callers = new HashMap<>();
+    private final Set<Caller> toFlush = new LinkedHashSet<>();
+    private Host host;
+
+    DispatcherListener(Decider decider, Log log) {
+        this.decider = decider;
+        this.log = log;
+        decider.addWriter(this::flush);
+    }
+
+    void serve(Host served) {
+        host = served;
+    }
+
+    Peer newPeer() {
+        return new Caller();
+    }
+
+    // ---- out ----
+
+    @Override
+    public void answer(ConnectionId connection, long tag, Answer answer) {
+        StringJoiner fields = new StringJoiner(",");
+        if (answer.advice() >= 0 && answer.advice() < Double.MAX_VALUE) {
+            fields.add("signal=" + BigDecimal.valueOf(answer.advice()).setScale(4, RoundingMode.HALF_UP)
+                    .stripTrailingZeros().toPlainString());
+        }
+        if (answer.comeBackAfter().isPositive()) {
+            fields.add("holdoff=" + (answer.comeBackAfter().nanos() + 999_999) / 1_000_000);
+        }
+        if (answer.askNoOther()) {
+            fields.add("nomore=1");
+        }
+        String word = switch (answer.word()) {
+            case SATISFIED -> "ACK";
+            case BOUNCED -> "NAK";
+            case ABANDONED -> "FAIL";
+            case GOOD -> "GREEN";
+            case NOT_GOOD -> "RED";
+        };
+        send(connection, Long.toString(tag), word, fields.toString(), answer.result());
+    }
+
+    @Override
+    public void sayNoMore(ConnectionId connection) {
+        send(connection, "0", "FIN", null, NOTHING);
+    }
+
+    @Override
+    public void close(ConnectionId connection, Ending why) {
+        Caller caller = callers.get(connection);
+        if (caller != null) {
+            if (why != Ending.CLOSED_BY_PEER) {
+                log.line("closing a dispatcher's connection: " + why);
+                caller.outbox.closeNow();
+            } else {
+                caller.outbox.closeOnFlush();
+            }
+        }
+    }
+
+    private void send(ConnectionId connection, String tag, String word, String fields, byte[] result) {
+        Caller caller = callers.get(connection);
+        if (caller == null) {
+            return;
+        }
+        int items = result.length > 0 ? 4 : fields == null || fields.isEmpty() ? 2 : 3;
+        caller.outbox.add("*" + items + "\r\n").add(bulk(tag)).add(bulk(word));
+        if (items > 2) {
+            caller.outbox.add(bulk(fields));
+        }
+        if (items > 3) {
+            caller.outbox.add("$" + result.length + "\r\n").add(result).add("\r\n");
+        }
+        toFlush.add(caller);
+    }
+
+    private static String bulk(String text) {
+        return "$" + text.length() + "\r\n" + text + "\r\n";
+    }
+
+    private void flush() {
+        for (Caller caller : toFlush) {
+            caller.outbox.flush();
+            long waiting = caller.outbox.waiting();
+            // Guards against dispatchers that don't read: their answers must not fill the memory.
+            if (waiting > MOST_WAITING || waiting > FEW && waitingForAll() > MOST_WAITING_ALL) {
+                close(caller.id, Ending.SLOW_READER);
+            }
+        }
+        toFlush.clear();
+    }
+
+    private long waitingForAll() {
+        return callers.values().stream().mapToLong(caller -> caller.outbox.waiting()).sum();
+    }
+
+    // ---- in ----
+
+    /** One dispatcher's connection. */
+    private final class Caller implements Peer {
+        private final RespParser parser = new RespParser();
+        private Outbox outbox;
+        private ConnectionId id;
+
+        @Override
+        public void opened(IoSession session) {
+            decider.tell(() -> {
+                outbox = new Outbox(session);
+                id = host.connected();
+                if (id == null) {
+                    log.line("no room for one more dispatcher's connection");
+                    outbox.closeNow();
+                } else {
+                    callers.put(id, this);
+                    // It may have been told to send no more before it could be found.
+                    host.greet(id);
+                }
+            });
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) throws Malformed {
+            for (List<byte[]> items = parser.next(bytes); items != null; items = parser.next(bytes)) {
+                Runnable news = read(items);
+                decider.tell(() -> {
+                    if (id != null) {
+                        news.run();
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void inputClosed(IoSession session) {
+            session.suspendRead();
+            decider.tell(() -> {
+                if (id != null) {
+                    host.halfClosed(id);
+                }
+            });
+        }
+
+        @Override
+        public void closed(boolean malformed) {
+            decider.tell(() -> {
+                if (id != null) {
+                    callers.remove(id);
+                    host.disconnected(id);
+                }
+            });
+        }
+
+        private Runnable read(List<byte[]> items) throws Malformed {
+            String verb = text(items.get(0));
+            if (items.size() < 2) {
+                throw new Malformed("an array without a tag");
+            }
+            long tag = LineParser.number(text(items.get(1)));
+            if (tag < 1) {
+                throw new Malformed("no tag can be " + tag);
+            }
+            switch (verb) {
+                case "REQ" -> {
+                    Arrival arrival = arrival(items);
+                    return () -> {
+                        if (!host.arrived(id, tag, arrival)) {
+                            close(id, Ending.MALFORMED);
+                        }
+                    };
+                }
+                case "ABORT" -> {
+                    return () -> host.aborted(id, tag);
+                }
+                case "HEALTH" -> {
+                    boolean real = items.size() > 2 && fields(text(items.get(2))).getOrDefault("real", "").equals("1");
+                    return () -> host.checked(id, tag, real);
+                }
+                default -> throw new Malformed("an unknown verb");
+            }
+        }
+    }
+
+    /** Null where the fields don't make a ticket. */
+    private static Arrival arrival(List<byte[]> items) {
+        if (items.size() < 4 || items.size() > 5) {
+            return null;
+        }
+        Map<String, String> fields = fields(text(items.get(3)));
+        String id = fields.get("req");
+        if (!TryId.isValid(id)) {
+            return null;
+        }
+        try {
+            String subject = fields.getOrDefault("subject", "");
+            String receipt = fields.getOrDefault("opkey", "");
+            return new Arrival(new TryId(id), text(items.get(2)), fields.getOrDefault("owner", ""),
+                    new SubjectId(subject.isEmpty() ? 0 : Long.parseUnsignedLong(subject, 16)),
+                    new CallerId(Integer.parseInt(fields.getOrDefault("via", "0"))),
+                    new Moment(Math.multiplyExact(Long.parseLong(fields.getOrDefault("ts", "")), 1_000_000L)),
+                    Double.parseDouble(fields.getOrDefault("need", "")),
+                    Double.parseDouble(fields.getOrDefault("level", "0")),
+                    receipt.isEmpty() ? null : new ReceiptKey(receipt),
+                    items.size() > 4 ? items.get(4) : NOTHING);
+        } catch (ArithmeticException | NumberFormatException e) {
+            return null;
+        }
+    }
+
+    private static Map<String, String> fields(String text) {
+        Map<String, String> fields = new HashMap<>();
+        for (String field : text.split(",")) {
+            int equals = field.indexOf('=');
+            if (equals > 0) {
+                fields.put(field.substring(0, equals), field.substring(equals + 1));
+            }
+        }
+        return fields;
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/net/NamingReporter.java
@@ -0,0 +1,171 @@
+package lupinwood.net;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import lupinwood.core.Deadlines;
+import lupinwood.core.Ending;
+import lupinwood.core.Host;
+import lupinwood.log.Log;
+import lupinwood.node.Span;
+import org.apache.mina.core.session.IoSession;
+
+/** Tells the name service again and again that this node serves, so that it stays listed. */
+final class NamingReporter {
+    /** A third of the time after which a silent node is taken off the list. */
+    private static final Span EVERY = Span.ofSeconds(1);
+    /** A report that isn't answered by then no longer keeps the node listed; its connection is given up. */
+    private static final Span PATIENCE = Span.ofSeconds(3);
+    private static final int MOST_AT_ONCE = 3;
+    private static final int NO_CONTENT = 204;
+
+    private final InetSocketAddress address;
+    private final String name;
+    private final Sockets sockets;
+    private final Decider decider;
+    private final Deadlines deadlines;
+    private final Log log;
+    private final Deque<Line> free = new ArrayDeque<>();
+    private int busy;
+    private boolean failing;
+    private boolean leaving;
+    private Host host;
+
+    NamingReporter(InetSocketAddress address, String name, Sockets sockets, Decider decider, Deadlines deadlines,
+            Log log) {
+        this.address = address;
+        this.name = name;
+        this.sockets = sockets;
+        this.decider = decider;
+        this.deadlines = deadlines;
+        this.log = log;
+    }
+
+    void serve(Host served) {
+        host = served;
+        beat();
+    }
+
+    /** One last report, so that the list needn't wait for silence. */
+    void leave() {
+        leaving = true;
+        report();
+    }
+
+    private void beat() {
+        if (!leaving) {
+            deadlines.at(host.now().plus(EVERY), this::beat);
+            report();
+        }
+    }
+
+    private void report() {
+        if (busy >= MOST_AT_ONCE) {
+            return;
+        }
+        busy++;
+        Line line = free.poll();
+        if (line == null) {
+            Line fresh = new Line();
+            fresh.deadline = deadlines.at(host.now().plus(PATIENCE), fresh::giveUp);
+            sockets.connect(address, fresh, ending -> decider.tell(() -> fresh.end(ending)));
+        } else {
+            line.deadline = deadlines.at(host.now().plus(PATIENCE), line::giveUp);
+            line.say();
+        }
+    }
+
+    private void heard(String trouble) {
+        if (failing != (trouble != null)) {
+            failing = trouble != null;
+            log.line(failing ? "the name service takes no reports: " + trouble : "the name service takes reports again");
+        }
+    }
+
+    private final class Line implements Peer {
+        private final HttpReplyParser parser = new HttpReplyParser();
+        private Outbox outbox;
+        private Deadlines.Deadline deadline;
+        private boolean asked = true;
+        private boolean over;
+
+        void say() {
+            asked = true;
+            String body = "{\"serving\":\"" + (host.isHealthy() || !leaving ? "yes" : "no") + "\"}";
+            outbox.add("PUT /ns/hosts/" + name + " HTTP/1.1\r\nHost: naming\r\nContent-Type: application/json\r\n"
+                    + "Content-Length: " + body.length() + "\r\n\r\n" + body).flush();
+        }
+
+        @Override
+        public void opened(IoSession session) {
+            decider.tell(() -> {
+                outbox = new Outbox(session);
+                if (over) {
+                    outbox.closeNow();
+                } else {
+                    say();
+                }
+            });
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) throws Malformed {
+            for (HttpReplyParser.Reply reply = parser.next(bytes); reply != null; reply = parser.next(bytes)) {
+                HttpReplyParser.Reply whole = reply;
+                decider.tell(() -> replied(whole));
+            }
+        }
+
+        private void replied(HttpReplyParser.Reply reply) {
+            if (over || !asked || reply.status() < 200) {
+                return;
+            }
+            heard(reply.status() == NO_CONTENT ? null : "it answered " + reply.status());
+            rest();
+            if (reply.keepsOpen()) {
+                free.add(this);
+            } else {
+                end(Ending.CLOSED_HERE);
+                outbox.closeNow();
+            }
+        }
+
+        private void rest() {
+            if (asked) {
+                asked = false;
+                busy--;
+                deadlines.callOff(deadline);
+            }
+        }
+
+        private void giveUp() {
+            end(Ending.GIVEN_UP);
+            if (outbox != null) {
+                outbox.closeNow();
+            }
+        }
+
+        @Override
+        public void inputClosed(IoSession session) {
+            session.closeNow();
+        }
+
+        @Override
+        public void closed(boolean malformed) {
+            decider.tell(() -> end(malformed ? Ending.MALFORMED : Ending.CLOSED_BY_PEER));
+        }
+
+        private void end(Ending ending) {
+            if (!over) {
+                over = true;
+                if (asked) {
+                    heard(ending.toString());
+                }
+                rest();
+                free.remove(this);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/net/Peer.java
@@ -0,0 +1,16 @@
+package lupinwood.net;
+
+import java.nio.ByteBuffer;
+import org.apache.mina.core.session.IoSession;
+
+/** The other side of one connection, as a socket thread sees it. */
+interface Peer {
+    void opened(IoSession session);
+
+    void received(ByteBuffer bytes) throws Malformed;
+
+    /** The other side sends no more. */
+    void inputClosed(IoSession session);
+
+    void closed(boolean malformed);
+}
--- /dev/null
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -0,0 +1,94 @@
+package lupinwood.net;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import lupinwood.core.Deadlines;
+import lupinwood.core.Host;
+import lupinwood.log.Log;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+
+/** One real node: its sockets, its deciding thread, and how it leaves. */
+public final class Serving {
+    private static final int TICKETS = 8192;
+    private static final long RECEIPT_BYTES = 8 * 1024 * 1024;
+    /** Descriptors kept for the process itself and for its links, where there are enough. */
+    private static final int OWN_DESCRIPTORS = 64;
+    private static final Span LOOK_AGAIN = Span.ofSeconds(0.02);
+    /** A ticket may cross the notice by as much. */
+    private static final Span CROSSING = Span.ofSeconds(0.1);
+    /** Before the stop, the process is gone by itself. */
+    private static final Span BEFORE_STOP = Span.ofSeconds(0.1);
+    private static final Span FIGURES_EVERY = Span.ofSeconds(10);
+
+    private final NodeConfig config;
+    private final Log log;
+    private final Deadlines deadlines = new Deadlines();
+    private final Decider decider;
+    private final Sockets sockets;
+    private final DispatcherListener listener;
+    private final ExecutorLink executor;
+    private final IndexLink index;
+    private final NamingReporter naming;
+    private final Host host;
+    private final CountDownLatch left = new CountDownLatch(1);
+
+    public Serving(NodeConfig config, Host.Maker maker, Log log) {
+        this.config = config;
+        this.log = log;
+        decider = new Decider(deadlines, log);
+        sockets = new Sockets(log);
+        listener = new DispatcherListener(decider, log);
+        executor = new ExecutorLink(config.executor(), sockets, decider, deadlines, log);
+        index = new IndexLink(config.index(), sockets, decider, deadlines, log);
+        naming = new NamingReporter(config.naming(), config.name(), sockets, decider, deadlines, log);
+        int connections = Math.max(config.sockets() / 2 + 1, config.sockets() - OWN_DESCRIPTORS);
+        host = new Host(config.settings(), config.seed(), maker,
+                new Host.Ports(listener, executor, index, log::line), deadlines,
+                new Host.Bounds(connections, TICKETS, RECEIPT_BYTES), Decider.clock());
+    }
+
+    /** Listens and serves until told to leave; an address in use is told by the exception. */
+    public void start() throws IOException {
+        sockets.listen(config.listen(), listener::newPeer);
+        log.line(config.name() + " listens on " + config.listen());
+        decider.tell(() -> {
+            listener.serve(host);
+            index.serve(host);
+            executor.serve(host);
+            naming.serve(host);
+            tellFigures();
+        });
+        decider.start(host);
+    }
+
+    private void tellFigures() {
+        log.line(host.figures());
+        deadlines.at(host.now().plus(FIGURES_EVERY), this::tellFigures);
+    }
+
+    /** The notice to leave: returns once everything read is answered, or just before the stop. */
+    public void leave() throws InterruptedException {
+        log.line("told to leave");
+        decider.tell(() -> {
+            Moment now = host.now();
+            host.leave(config.stop());
+            naming.leave();
+            look(now.plus(CROSSING), now.plus(config.stop().minus(BEFORE_STOP)));
+        });
+        left.await(config.stop().nanos(), TimeUnit.NANOSECONDS);
+        sockets.stopListening();
+        log.line("left");
+    }
+
+    /** Done once all is answered and the dispatchers have closed their connections, as they were asked to. */
+    private void look(Moment first, Moment last) {
+        boolean crossed = !host.now().isBefore(first);
+        if (crossed && host.isAnswered() && host.connectionCount() == 0 || !host.now().isBefore(last)) {
+            left.countDown();
+        } else {
+            deadlines.at(host.now().plus(LOOK_AGAIN), () -> look(first, last));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/net/Sockets.java
@@ -0,0 +1,130 @@
+package lupinwood.net;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import lupinwood.core.Ending;
+import lupinwood.log.Log;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+
+/** MINA, with one thread that reads and writes, one that accepts and one that connects. */
+final class Sockets {
+    private static final int READ_BUFFER = 2048;
+    private static final int MOST_READ_BUFFER = 16 * 1024;
+    private static final int BACKLOG = 512;
+    private static final long CONNECT_MS = 2000;
+    private static final String PEER = "peer";
+    private static final String MALFORMED = "malformed";
+
+    private final Log log;
+    private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processor);
+    private final NioSocketConnector connector = new NioSocketConnector(processor);
+
+    Sockets(Log log) {
+        this.log = log;
+        configure(acceptor.getSessionConfig());
+        configure(connector.getSessionConfig());
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        connector.setHandler(new Handler(null));
+        connector.setConnectTimeoutMillis(CONNECT_MS);
+    }
+
+    private static void configure(SocketSessionConfig config) {
+        config.setTcpNoDelay(true);
+        config.setReadBufferSize(READ_BUFFER);
+        config.setMaxReadBufferSize(MOST_READ_BUFFER);
+    }
+
+    void listen(InetSocketAddress address, Supplier<Peer> peers) throws IOException {
+        acceptor.setHandler(new Handler(peers));
+        acceptor.bind(address);
+    }
+
+    void stopListening() {
+        acceptor.unbind();
+    }
+
+    /** Exactly one of the peer's opened and this failure is told. */
+    void connect(InetSocketAddress address, Peer peer, Consumer<Ending> failure) {
+        ConnectFuture future = connector.connect(address,
+                (session, connecting) -> session.setAttribute(PEER, peer));
+        AtomicBoolean told = new AtomicBoolean();
+        future.addListener(done -> {
+            if (!future.isConnected() && told.compareAndSet(false, true)) {
+                failure.accept(future.getException() instanceof ConnectException
+                        ? Ending.CONNECTION_REFUSED : Ending.NEVER_CONNECTED);
+            }
+        });
+    }
+
+    private final class Handler extends IoHandlerAdapter {
+        private final Supplier<Peer> peers;
+
+        Handler(Supplier<Peer> peers) {
+            this.peers = peers;
+        }
+
+        @Override
+        public void sessionCreated(IoSession session) {
+            if (peers != null) {
+                session.setAttribute(PEER, peers.get());
+            }
+        }
+
+        @Override
+        public void sessionOpened(IoSession session) {
+            peer(session).opened(session);
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            if (session.containsAttribute(MALFORMED)) {
+                return;
+            }
+            try {
+                peer(session).received(((IoBuffer) message).buf());
+            } catch (Malformed e) {
+                log.line("closing the connection with " + session.getRemoteAddress() + ": " + e.getMessage());
+                session.setAttribute(MALFORMED);
+                session.closeNow();
+            }
+        }
+
+        @Override
+        public void inputClosed(IoSession session) {
+            peer(session).inputClosed(session);
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            peer(session).closed(session.containsAttribute(MALFORMED));
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                log.problem("a connection failed", cause);
+            }
+            session.closeNow();
+        }
+
+        private Peer peer(IoSession session) {
+            return (Peer) session.getAttribute(PEER);
+        }
+    }
+}
