--- a/src/main/java/lupinwood/cli/Main.java
+++ b/src/main/java/lupinwood/cli/Main.java
@@ -16,7 +16,8 @@
     }
 
     private static int run(String[] args) {
-        Map<String, Command> commands = Map.of("serve", new Serve(), "version", new Version(), "drill", new DrillCommand());
+        Map<String, Command> commands =
+                Map.of("serve", new Serve(), "version", new Version(), "drill", new DrillCommand());
         JCommander parser = JCommander.newBuilder().programName(NAME).build();
         Help help = new Help();
         parser.addObject(help);
@@ -25,7 +26,9 @@
         try {
             parser.parse(args);
         } catch (ParameterException e) {
-            System.err.println(NAME + ": " + e.getMessage() + "; 'help' lists the commands");
+            // The library's own text for a word too many speaks of its classes.
+            String said = e.getMessage().replaceFirst("^Was passed main parameter ('.*?').*", "unknown word $1");
+            System.err.println(NAME + ": " + said + "; 'help' lists the commands");
             return USAGE;
         }
         String command = parser.getParsedCommand();
--- a/src/main/java/lupinwood/core/Connections.java
+++ b/src/main/java/lupinwood/core/Connections.java
@@ -4,14 +4,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
 import lupinwood.node.TicketId;
 
-/** The dispatchers' connections: what is open on each, and which have been idle for too long. */
+/** The dispatchers' connections: what is open on each, and which were idle for too long. */
 final class Connections {
     /** The protocol's bound on open tickets of one connection. */
     static final int MOST_OPEN = 32;
+    /** A dispatcher that was asked to close an idle connection and doesn't is cut off then. */
+    private static final Span TIME_TO_CLOSE = Span.ofSeconds(5);
 
     private static final class Connection {
         ConnectionId id;
@@ -25,13 +28,17 @@
     private final Slots<Connection> table;
     private final Dispatchers dispatchers;
     private final Deadlines deadlines;
-    private Span longestIdle = new Span(Long.MAX_VALUE / 4);
+    private final Supplier<Moment> clock;
+    private Span longestIdle;
     private boolean leaving;
 
-    Connections(int most, Dispatchers dispatchers, Deadlines deadlines) {
+    Connections(int most, Span longestIdle, Dispatchers dispatchers, Deadlines deadlines,
+            Supplier<Moment> clock) {
+        this.longestIdle = longestIdle;
         table = new Slots<>(most);
         this.dispatchers = dispatchers;
         this.deadlines = deadlines;
+        this.clock = clock;
     }
 
     int size() {
@@ -45,17 +52,24 @@
     }
 
     /** A place for a new connection, or null where the table is full. */
-    ConnectionId add(Moment now) {
+    ConnectionId add() {
         if (table.isFull()) {
             return null;
         }
         Connection connection = new Connection();
         connection.id = new ConnectionId(table.put(connection));
-        connection.idleSince = now;
-        watch(connection);
+        rest(connection);
         return connection.id;
     }
 
+    /** Something else than a ticket came on it. */
+    void touch(ConnectionId id) {
+        Connection connection = table.get(id.number());
+        if (connection != null) {
+            rest(connection);
+        }
+    }
+
     /** A connection that came about while leaving hears so at once. */
     void greet(ConnectionId id) {
         if (leaving) {
@@ -95,14 +109,13 @@
         connection.idle = null;
     }
 
-    void end(ConnectionId id, long tag, Moment now) {
+    void end(ConnectionId id, long tag) {
         Connection connection = table.get(id.number());
         if (connection != null && connection.open.remove(tag) != null && connection.open.isEmpty()) {
-            connection.idleSince = now;
             if (connection.closing) {
                 dispatchers.close(id, Ending.CLOSED_BY_PEER);
             } else {
-                watch(connection);
+                rest(connection);
             }
         }
     }
@@ -128,10 +141,20 @@
         table.forEach(this::finish);
     }
 
+    /** It carries nothing from now on. */
+    private void rest(Connection connection) {
+        connection.idleSince = clock.get();
+        watch(connection);
+    }
+
     private void watch(Connection connection) {
         deadlines.callOff(connection.idle);
-        connection.idle = connection.finished || !connection.open.isEmpty() ? null
-                : deadlines.at(connection.idleSince.plus(longestIdle), () -> finish(connection));
+        if (connection.open.isEmpty()) {
+            connection.idle = connection.finished
+                    ? deadlines.at(connection.idleSince.plus(TIME_TO_CLOSE),
+                            () -> dispatchers.close(connection.id, Ending.CLOSED_HERE))
+                    : deadlines.at(connection.idleSince.plus(longestIdle), () -> finish(connection));
+        }
     }
 
     /** Closing at once could cross a ticket that is on its way; so the dispatcher is asked to close. */
@@ -139,6 +162,7 @@
         if (!connection.finished) {
             connection.finished = true;
             dispatchers.sayNoMore(connection.id);
+            rest(connection);
         }
     }
 }
--- a/src/main/java/lupinwood/core/Deadlines.java
+++ b/src/main/java/lupinwood/core/Deadlines.java
@@ -6,7 +6,7 @@
 import java.util.TreeSet;
 import lupinwood.node.Moment;
 
-/** All that is due later, soonest first and in the order given. The only such structure outside the decisions. */
+/** All that is due later, soonest first and in the order given; the only such structure of the host. */
 public final class Deadlines {
     /** One job due; it can be called off. */
     public static final class Deadline {
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -39,6 +39,8 @@
     /** A dispatcher that asked for a deep check hears by then at the latest. */
     private static final Span DEEP_WAIT = Span.ofSeconds(1);
     private static final int MOST_DEEP = 64;
+    /** How long a connection may be idle where the settings don't tell. */
+    private static final Span ALWAYS_IDLE = Span.ofSeconds(3600);
     private static final int MOST_BODY = 2048;
     private static final int MOST_KB = 2000;
 
@@ -83,7 +85,10 @@
         this.ports = ports;
         this.deadlines = deadlines;
         this.now = now;
-        connections = new Connections(bounds.connections(), ports.dispatchers(), deadlines);
+        // Dispatchers close idle connections by then; what is left was forgotten.
+        Span longestIdle = new Span(Long.parseLong(settings.getOrDefault("domain.keepalive_max_ns", "0")));
+        connections = new Connections(bounds.connections(),
+                longestIdle.isPositive() ? longestIdle : ALWAYS_IDLE, ports.dispatchers(), deadlines, this::now);
         tickets = new Slots<>(bounds.tickets());
         receipts = new Receipts(bounds.receiptBytes());
         number("services", tracks);
@@ -122,7 +127,7 @@
 
     /** A place for a new connection, or null where there is none. */
     public ConnectionId connected() {
-        return connections.add(now);
+        return connections.add();
     }
 
     /** The connection can be written to now. */
@@ -140,8 +145,8 @@
     }
 
     /**
-     * A ticket came; null where it can't be read. False where the tag is still open: the dispatcher has lost count,
-     * and no answer could be told apart.
+     * A ticket came; null where it can't be read. False where the tag is still open: the dispatcher has lost
+     * count, and no answer could be told apart.
      */
     public boolean arrived(ConnectionId connection, long tag, Arrival arrival) {
         if (connections.isOpen(connection, tag)) {
@@ -199,7 +204,7 @@
     public void aborted(ConnectionId connection, long tag) {
         TicketId ticket = connections.open(connection, tag);
         if (ticket != null) {
-            connections.end(connection, tag, now);
+            connections.end(connection, tag);
             left(ticket);
         }
     }
@@ -214,6 +219,7 @@
     }
 
     public void checked(ConnectionId connection, long tag, boolean real) {
+        connections.touch(connection);
         if (node != null && real && !fromStore && deepChecks.size() < MOST_DEEP) {
             long deep = ++lastTag;
             deepChecks.put(deep, new DeepCheck(connection, tag,
@@ -233,7 +239,7 @@
         if (!taken.answered) {
             taken.answered = true;
             ports.dispatchers().answer(taken.connection, taken.tag, answer);
-            connections.end(taken.connection, taken.tag, now);
+            connections.end(taken.connection, taken.tag);
         }
     }
 
@@ -257,9 +263,9 @@
     }
 
     /**
-     * After a lost link: what was sent last may not have been read. A pure ticket's run may be asked for again, and a
-     * run that goes on ignores it; a receipted or effectful one might have ended just now and run twice, so it is
-     * only asked for again once answered, when the executor would start nothing.
+     * After a lost link: what was sent last may not have been read. A pure ticket's run may be asked for
+     * again, and a run that goes on ignores it; a receipted or effectful one might have ended just now and
+     * run twice, so it is only asked for again once answered, when the executor would start nothing.
      */
     private void sendAgain() {
         tickets.forEach(taken -> {
@@ -496,7 +502,8 @@
             return;
         }
         Moment ends = now.plus(span);
-        Receipts.Receipt receipt = receipts.remember(taken.arrival.receipt(), ticket, ends, taken.arrival.body());
+        Receipts.Receipt receipt =
+                receipts.remember(taken.arrival.receipt(), ticket, ends, taken.arrival.body());
         // A repeat that came in time may be read up to its abandon time later.
         int track = tracks.get(taken.arrival.track());
         long abandon = Long.parseLong(settings.getOrDefault("services." + track + ".give_up_ns", "0"));
@@ -592,10 +599,6 @@
         return connections.size();
     }
 
-    public boolean isHealthy() {
-        return node != null && good && !leaving;
-    }
-
     /** What stands open, for the log. */
     public String figures() {
         return "connections " + connections.size() + ", open " + connections.openTickets() + ", tickets "
--- a/src/main/java/lupinwood/core/Receipts.java
+++ b/src/main/java/lupinwood/core/Receipts.java
@@ -10,8 +10,8 @@
 import lupinwood.node.TicketId;
 
 /**
- * The receipted tickets remembered here, with the results of those that ran. When bodies and results outgrow their
- * bound the oldest lose theirs; the receipt itself stays, so a repeat is still known and never runs.
+ * The receipted tickets remembered here, with the results of those that ran. When bodies and results outgrow
+ * their bound the oldest lose theirs; the receipt itself stays, so a repeat is still known and never runs.
  */
 final class Receipts {
     /** One remembered ticket. */
--- a/src/main/java/lupinwood/core/Slots.java
+++ b/src/main/java/lupinwood/core/Slots.java
@@ -5,8 +5,8 @@
 import java.util.function.Consumer;
 
 /**
- * A table of numbered slots. An id is a slot and the generation of its use, so that late news of what stood there
- * before never hits what stands there now.
+ * A table of numbered slots. An id is a slot and the generation of its use, so that late news of what stood
+ * there before never hits what stands there now.
  */
 public final class Slots<T> {
     private static final int SLOT_BITS = 20;
--- a/src/main/java/lupinwood/log/Log.java
+++ b/src/main/java/lupinwood/log/Log.java
@@ -2,26 +2,31 @@
 
 import java.io.PrintStream;
 import java.time.Instant;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 
 /**
- * Lines to one stream, written by a thread of its own: who logs never waits for who reads. A flood is cut to so many
- * lines a second, and the log says how many were left out.
+ * Lines to one stream, written by a thread of its own: who logs never waits for who reads. A flood is cut to
+ * so many lines of a kind a second, so that it hides nothing else, and the log says how many were left out.
  */
 public final class Log {
     private static final int WAITING = 1024;
-    private static final int LINES_A_SECOND = 50;
+    private static final int OF_A_KIND_A_SECOND = 5;
+    private static final int KINDS = 40;
     private static final int MOST_CHARS = 400;
+    private static final Pattern DIGITS = Pattern.compile("[0-9]+");
 
     private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(WAITING);
     private final PrintStream out;
     private final Supplier<Instant> clock;
+    /** How many lines came in this second, by kind. */
+    private final Map<String, Integer> came = new TreeMap<>();
     private long second;
-    private int thisSecond;
-    private long leftOut;
 
     public Log(PrintStream out, Supplier<Instant> clock) {
         this.out = out;
@@ -41,14 +46,19 @@
         Instant now = clock.get();
         if (now.getEpochSecond() != second) {
             second = now.getEpochSecond();
-            thisSecond = 0;
-            if (leftOut > 0 && lines.offer(now + " " + leftOut + " lines left out")) {
-                leftOut = 0;
-            }
+            came.forEach((kind, count) -> {
+                if (count > OF_A_KIND_A_SECOND) {
+                    lines.offer(now + " left out " + (count - OF_A_KIND_A_SECOND) + " lines like: " + kind);
+                }
+            });
+            came.clear();
         }
-        String cut = text.length() > MOST_CHARS ? text.substring(0, MOST_CHARS) + "..." : text;
-        if (++thisSecond > LINES_A_SECOND || !lines.offer(now + " " + cut.replace('\n', ' ').replace('\r', ' '))) {
-            leftOut++;
+        String cut = (text.length() > MOST_CHARS ? text.substring(0, MOST_CHARS) + "..." : text)
+                .replace('\n', ' ').replace('\r', ' ');
+        String kind = DIGITS.matcher(cut).replaceAll("N");
+        boolean known = came.size() < KINDS || came.containsKey(kind);
+        if (came.merge(known ? kind : "others", 1, Integer::sum) <= OF_A_KIND_A_SECOND) {
+            lines.offer(now + " " + cut);
         }
     }
 
--- a/src/main/java/lupinwood/net/Decider.java
+++ b/src/main/java/lupinwood/net/Decider.java
@@ -14,8 +14,8 @@
 import lupinwood.node.Moment;
 
 /**
- * The one deciding thread: it takes in what came, tells the host, settles once, then lets the writes go. Nothing else
- * touches the host, the deadlines or the adapters' own state.
+ * The one deciding thread: it takes in what came, tells the host, settles once, then lets the writes go.
+ * Nothing else touches the host, the deadlines or the adapters' own state.
  */
 final class Decider {
     /** Where socket threads wait when deciding falls behind, which in turn lets the senders wait. */
@@ -31,6 +31,7 @@
     private final Log log;
     private final Thread thread = new Thread(this::decide, "decider");
     private Host host;
+    private boolean stopped;
 
     Decider(Deadlines deadlines, Log log) {
         this.deadlines = deadlines;
@@ -49,9 +50,19 @@
 
     void start(Host decidesFor) {
         host = decidesFor;
+        // Guards against a node that listens and no longer decides: it is better gone, and started anew.
+        thread.setUncaughtExceptionHandler((dead, cause) -> {
+            log.problem("deciding ended", cause);
+            log.drain();
+            Runtime.getRuntime().halt(1);
+        });
         thread.start();
     }
 
+    void stop() {
+        tell(() -> stopped = true);
+    }
+
     void tell(Runnable news) {
         if (Thread.currentThread() == thread) {
             own.add(news);
@@ -66,7 +77,7 @@
 
     private void decide() {
         try {
-            while (true) {
+            while (!stopped) {
                 round(await());
             }
         } catch (InterruptedException e) {
--- a/src/main/java/lupinwood/net/DispatcherListener.java
+++ b/src/main/java/lupinwood/net/DispatcherListener.java
@@ -210,7 +210,7 @@
                     return () -> host.aborted(id, tag);
                 }
                 case "HEALTH" -> {
-                    boolean real = items.size() > 2 && fields(text(items.get(2))).getOrDefault("real", "").equals("1");
+                    boolean real = items.size() > 2 && "1".equals(fields(text(items.get(2))).get("real"));
                     return () -> host.checked(id, tag, real);
                 }
                 default -> throw new Malformed("an unknown verb");
--- a/src/main/java/lupinwood/net/ExecutorLink.java
+++ b/src/main/java/lupinwood/net/ExecutorLink.java
@@ -89,8 +89,11 @@
     }
 
     private final class Link implements Peer {
-        private final LineParser parser = new LineParser(words ->
-                words[0].equals("EXIT") && words.length == 6 || words[0].equals("CALLOUT") && words.length == 4);
+        private final LineParser parser = new LineParser(words -> switch (words[0]) {
+            case "EXIT" -> words.length == 6;
+            case "CALLOUT" -> words.length == 4;
+            default -> false;
+        });
         private Outbox outbox;
         private boolean welcomed;
 
@@ -105,7 +108,7 @@
 
         @Override
         public void received(ByteBuffer bytes) throws Malformed {
-            for (LineParser.Message message = parser.next(bytes); message != null; message = parser.next(bytes)) {
+            for (LineParser.Message message; (message = parser.next(bytes)) != null; ) {
                 Runnable news = read(message.words(), message.body());
                 decider.tell(news);
             }
@@ -155,12 +158,9 @@
                     return () -> host.diagnosed(tag, words[2].equals("OK"));
                 }
                 case "BAD 2" -> {
-                    TryId id = TryId.isValid(words[2]) ? new TryId(words[2]) : null;
-                    return () -> {
-                        if (id != null) {
-                            host.notCarriedOut(words[1], id);
-                        }
-                    };
+                    // The id of a command without one is its tag.
+                    TryId id = new TryId(words[2]);
+                    return () -> host.notCarriedOut(words[1], id);
                 }
                 default -> {
                     return other(words);
@@ -181,9 +181,6 @@
                 String text = String.join(" ", Arrays.asList(words).subList(2, words.length));
                 return notice(words[1], () -> log.line("the executor says: " + text));
             }
-            if (words[0].equals("BAD")) {
-                return () -> log.line("the executor did not carry out " + String.join(" ", words));
-            }
             throw new Malformed("no notice of the executor: " + words[0]);
         }
 
--- a/src/main/java/lupinwood/net/IndexLink.java
+++ b/src/main/java/lupinwood/net/IndexLink.java
@@ -86,7 +86,8 @@
     }
 
     private final class Line implements Peer {
-        private final LineParser parser = new LineParser(words -> words.length == 3 && words[1].equals("HIT"));
+        private final LineParser parser =
+                new LineParser(words -> words.length == 3 && words[1].equals("HIT"));
         private final Set<TryId> out = new HashSet<>();
         private final Set<TryId> givenUp = new HashSet<>();
         private final Map<TryId, Runnable> unsent = new HashMap<>();
@@ -161,7 +162,7 @@
 
         @Override
         public void received(ByteBuffer bytes) throws Malformed {
-            for (LineParser.Message message = parser.next(bytes); message != null; message = parser.next(bytes)) {
+            for (LineParser.Message message; (message = parser.next(bytes)) != null; ) {
                 String[] words = message.words();
                 if (words.length < 2 || !TryId.isValid(words[0])) {
                     throw new Malformed("no reply of the index");
@@ -202,7 +203,7 @@
             retire();
             deadlines.callOff(idle);
             if (!out.isEmpty()) {
-                log.line("the connection to the index is over with " + out.size() + " calls out: " + ending);
+                log.line("the connection to the index ended with " + out.size() + " calls out: " + ending);
             }
             for (TryId id : new ArrayList<>(out)) {
                 if (lines.remove(id, this)) {
--- a/src/main/java/lupinwood/net/LineParser.java
+++ b/src/main/java/lupinwood/net/LineParser.java
@@ -5,7 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Predicate;
 
-/** Reads lines of words; where the last word is a length, the bytes that follow too. However they are split. */
+/** Reads lines of words and, where the last word is a length, the bytes that follow; however split. */
 final class LineParser {
     /** One message: its words and its bytes, none where the line has no length. */
     record Message(String[] words, byte[] body) {}
--- a/src/main/java/lupinwood/net/NamingReporter.java
+++ b/src/main/java/lupinwood/net/NamingReporter.java
@@ -33,8 +33,8 @@
     private boolean leaving;
     private Host host;
 
-    NamingReporter(InetSocketAddress address, String name, Sockets sockets, Decider decider, Deadlines deadlines,
-            Log log) {
+    NamingReporter(InetSocketAddress address, String name, Sockets sockets, Decider decider,
+            Deadlines deadlines, Log log) {
         this.address = address;
         this.name = name;
         this.sockets = sockets;
@@ -80,7 +80,8 @@
     private void heard(String trouble) {
         if (failing != (trouble != null)) {
             failing = trouble != null;
-            log.line(failing ? "the name service takes no reports: " + trouble : "the name service takes reports again");
+            log.line(failing ? "the name service takes no reports: " + trouble
+                    : "the name service takes reports again");
         }
     }
 
@@ -93,8 +94,9 @@
 
         void say() {
             asked = true;
-            String body = "{\"serving\":\"" + (host.isHealthy() || !leaving ? "yes" : "no") + "\"}";
-            outbox.add("PUT /ns/hosts/" + name + " HTTP/1.1\r\nHost: naming\r\nContent-Type: application/json\r\n"
+            String body = "{\"serving\":\"" + (leaving ? "no" : "yes") + "\"}";
+            outbox.add("PUT /ns/hosts/" + name + " HTTP/1.1\r\nHost: naming\r\n"
+                    + "Content-Type: application/json\r\n"
                     + "Content-Length: " + body.length() + "\r\n\r\n" + body).flush();
         }
 
@@ -112,7 +114,7 @@
 
         @Override
         public void received(ByteBuffer bytes) throws Malformed {
-            for (HttpReplyParser.Reply reply = parser.next(bytes); reply != null; reply = parser.next(bytes)) {
+            for (HttpReplyParser.Reply reply; (reply = parser.next(bytes)) != null; ) {
                 HttpReplyParser.Reply whole = reply;
                 decider.tell(() -> replied(whole));
             }
--- a/src/main/java/lupinwood/net/RespParser.java
+++ b/src/main/java/lupinwood/net/RespParser.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Reads RESP arrays of bulk strings, however they are split. Lengths are bounded before anything is set aside. */
+/** Reads RESP arrays of bulk strings, however they are split; lengths are bounded before anything is kept. */
 final class RespParser {
     private static final int MOST_ITEMS = 8;
     private static final int MOST_DIGITS = 10;
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -77,8 +77,11 @@
             naming.leave();
             look(now.plus(CROSSING), now.plus(config.stop().minus(BEFORE_STOP)));
         });
-        left.await(config.stop().nanos(), TimeUnit.NANOSECONDS);
+        // Closed first and long before the end: what was accepted till now still has time for its answers.
         sockets.stopListening();
+        left.await(config.stop().nanos(), TimeUnit.NANOSECONDS);
+        decider.stop();
+        sockets.dispose();
         log.line("left");
     }
 
--- a/src/main/java/lupinwood/net/Sockets.java
+++ b/src/main/java/lupinwood/net/Sockets.java
@@ -40,6 +40,8 @@
         configure(connector.getSessionConfig());
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
+        // What is open when listening ends still gets its answers.
+        acceptor.setCloseOnDeactivation(false);
         connector.setHandler(new Handler(null));
         connector.setConnectTimeoutMillis(CONNECT_MS);
     }
@@ -59,6 +61,12 @@
         acceptor.unbind();
     }
 
+    void dispose() {
+        acceptor.dispose();
+        connector.dispose();
+        processor.dispose();
+    }
+
     /** Exactly one of the peer's opened and this failure is told. */
     void connect(InetSocketAddress address, Peer peer, Consumer<Ending> failure) {
         ConnectFuture future = connector.connect(address,
--- /dev/null
+++ b/src/test/java/lupinwood/core/HostTest.java
@@ -0,0 +1,479 @@
+package lupinwood.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.*;
+import lupinwood.Brain;
+import lupinwood.node.*;
+import org.junit.jupiter.api.Test;
+
+/** The host round a real Brain, with ports that print what is asked of them. */
+final class HostTest implements Dispatchers, Executor, Index {
+    private static final byte[] NOTHING = {};
+
+    private final Map<String, String> settings = new TreeMap<>();
+    private final StringBuilder trace = new StringBuilder();
+    private final Deadlines deadlines = new Deadlines();
+    private Moment now = new Moment(1_000_000_000_000L);
+    private boolean linked = true;
+    private Host host;
+    private ConnectionId line;
+    private long tag;
+
+    HostTest() {
+        set("domain.cpus=2 domain.memory_kb=100000 domain.run_mem_factor=4 domain.entry_kb=1"
+                + " domain.calls_out=2 domain.below=one_for_all domain.class_calls=true,true,true"
+                + " domain.linger_ns=200000000"
+                + " domain.stop_mode=off domain.advert=off step_ns=1000000 rules.fall_multiple=5"
+                + " rules.fall_ns=2000000000 rules.drain_grace_ns=1000000000 services.count=3"
+                + " customers.count=1 customers.0.name=acme bounds.max_retry_after_ns=1000000000"
+                + " domain.gauges=core_use,on_cores,heap_share,links domain.keepalive_max_ns=3000000000");
+        String[] effects = {"pure", "token", "side_effect"};
+        for (int i = 0; i < effects.length; i++) {
+            String at = " services." + i + ".";
+            set((at + "name=" + effects[i] + at + "effect=" + effects[i] + at + "aim_ns=2000000000" + at
+                    + "give_up_ns=5000000000" + at + "window_ns=8000000000" + at + "worth=1").strip());
+        }
+    }
+
+    private void set(String pairs) {
+        for (String pair : pairs.split(" ")) {
+            settings.put(pair.substring(0, pair.indexOf('=')), pair.substring(pair.indexOf('=') + 1));
+        }
+    }
+
+    private void start() {
+        make(8192);
+        host.welcomed(false, Span.ZERO);
+        host.settle();
+        trace.setLength(0);
+    }
+
+    private void make(long receiptBytes) {
+        host = new Host(settings, 7, Brain::new, new Host.Ports(this, this, this, this::log), deadlines,
+                new Host.Bounds(4, 40, receiptBytes), now);
+        line = host.connected();
+    }
+
+    private static TryId id(long tag) {
+        return new TryId(String.format("%016x", tag));
+    }
+
+    /** A ticket comes; its tag and its id are the next number. */
+    private long arrive(String track, String receipt, String body) {
+        tell(() -> host.arrived(line, ++tag, arrival(tag, track, receipt, body)));
+        return tag;
+    }
+
+    private Arrival arrival(long number, String track, String receipt, String body) {
+        return new Arrival(id(number), track, "acme", new SubjectId(0), new CallerId(1), now, 10, 0.5,
+                receipt == null ? null : new ReceiptKey(receipt), body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void tell(Runnable news) {
+        news.run();
+        host.settle();
+    }
+
+    private void exit(long number, Ending ending, String result) {
+        tell(() -> host.exited(id(number), ending, Span.ZERO, result.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void callOut(long number) {
+        tell(() -> host.calledOut(id(number), "q".getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void pass(int millis) {
+        Moment until = now.plus(Span.ofSeconds(millis / 1e3));
+        while (!until.isBefore(deadlines.soonest())) {
+            now = now.isBefore(deadlines.soonest()) ? deadlines.soonest() : now;
+            host.advance(now);
+            deadlines.ring(now);
+            host.settle();
+        }
+        now = until;
+        host.advance(now);
+    }
+
+    private void say(String text) {
+        trace.append((now.nanos() - 1_000_000_000_000L) / 1_000_000).append(' ').append(text).append('\n');
+    }
+
+    private String printed() {
+        return trace.toString();
+    }
+
+    @Override
+    public void answer(ConnectionId connection, long to, Answer answer) {
+        say(to + " " + answer.word() + (answer.result().length > 0 ? " " + text(answer.result()) : ""));
+    }
+
+    @Override
+    public void sayNoMore(ConnectionId connection) {
+        say("no more");
+    }
+
+    @Override
+    public void close(ConnectionId connection, Ending why) {
+        say("close " + why);
+    }
+
+    @Override
+    public boolean run(TryId id, String track, byte[] body) {
+        say("run " + number(id) + " " + text(body) + (linked ? "" : ", no link"));
+        return linked;
+    }
+
+    @Override
+    public void giveReply(TryId id, byte[] reply) {
+        say("reply for " + number(id) + " " + text(reply));
+    }
+
+    @Override
+    public void askGauges(long asked) {
+        host.gaugesRead(asked, new double[] {0.5, 1, 0.1, 1});
+    }
+
+    @Override
+    public void checkDeep(long asked) {
+        say("deep check");
+    }
+
+    @Override
+    public void call(TryId id, Span cap, byte[] body) {
+        say("call for " + number(id) + " " + text(body));
+    }
+
+    @Override
+    public void giveUp(TryId id) {
+        say("give up the call for " + number(id));
+    }
+
+    private void log(String text) {
+        if (!text.startsWith("bounce ")) {
+            say("log " + text);
+        }
+    }
+
+    private static long number(TryId id) {
+        return Long.parseLong(id.digits(), 16);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void aTicketRunsCallsAndGetsItsResultUnchanged() {
+        start();
+        long one = arrive("pure", null, "a");
+        callOut(one);
+        pass(30);
+        tell(() -> host.callEnded(id(one), Ending.WELL, "r".getBytes(StandardCharsets.UTF_8)));
+        exit(one, Ending.WELL, "result");
+        exit(one, Ending.WELL, "late news");
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                0 call for 1 q
+                30 reply for 1 r
+                30 1 SATISFIED result
+                """);
+    }
+
+    @Test
+    void anAbortBeforeDuringAndAfterTheAnswerLeavesNothingBehind() {
+        start();
+        long running = arrive("pure", null, "a");
+        long called = arrive("pure", null, "b");
+        long held = arrive("pure", null, "c");
+        callOut(called);
+        for (long aborted : new long[] {running, called, held, 99}) {
+            tell(() -> host.aborted(line, aborted));
+        }
+        exit(called, Ending.STOPPED, "");
+        exit(running, Ending.WELL, "unwanted");
+        exit(held, Ending.WELL, "unwanted");
+        tell(() -> host.aborted(line, running));
+        pass(100);
+        assertThat(host.isAnswered()).isTrue();
+        assertThat(host.figures()).startsWith("connections 1, open 0, tickets 0, receipts 0");
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                0 run 2 b
+                0 run 3 c
+                0 call for 2 q
+                0 give up the call for 2
+                """);
+    }
+
+    @Test
+    void repeatsOfAReceiptedTicketShareItsOneRunWhileItLastsAndAfterIt() {
+        start();
+        long first = arrive("token", "k", "a");
+        arrive("token", "k", "a");
+        arrive("token", "k", "another body");
+        exit(first, Ending.WELL, "result");
+        pass(7000);
+        arrive("token", "k", "a");
+        pass(2000);
+        arrive("token", "k", "a");
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                0 3 ABANDONED
+                0 1 SATISFIED result
+                0 2 SATISFIED result
+                3000 no more
+                7000 4 SATISFIED result
+                9000 run 5 a
+                """);
+    }
+
+    @Test
+    void repeatsFailWithAnOriginalThatFailedAndOneThatNeverRanIsForgotten() {
+        start();
+        long first = arrive("token", "k", "a");
+        arrive("token", "k", "a");
+        exit(first, Ending.FAILED, "");
+        long full = arrive("pure", null, "b");
+        arrive("pure", null, "c");
+        long held = arrive("token", "l", "d");
+        arrive("token", "l", "d");
+        tell(() -> host.aborted(line, held));
+        exit(full, Ending.WELL, "x");
+        arrive("token", "l", "d");
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                0 1 ABANDONED
+                0 2 ABANDONED
+                0 run 3 b
+                0 run 4 c
+                0 6 ABANDONED
+                0 3 SATISFIED x
+                0 run 7 d
+                """);
+    }
+
+    @Test
+    void resultsBeyondTheirBoundAreDroppedButTheirReceiptsStay() {
+        make(10);
+        host.welcomed(false, Span.ZERO);
+        trace.setLength(0);
+        exit(arrive("token", "k", "a"), Ending.WELL, "12345678");
+        exit(arrive("token", "l", "b"), Ending.WELL, "12345678");
+        arrive("token", "k", "a");
+        arrive("token", "l", "b");
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                0 1 SATISFIED 12345678
+                0 run 2 b
+                0 2 SATISFIED 12345678
+                0 3 ABANDONED
+                0 4 SATISFIED 12345678
+                """);
+    }
+
+    @Test
+    void aReplacedLinkRunsAgainOnlyWhatCannotRunTwice() {
+        start();
+        arrive("pure", null, "a");
+        long receipted = arrive("token", "k", "b");
+        tell(() -> host.welcomed(false, Span.ZERO));
+        tell(() -> host.aborted(line, receipted));
+        exit(receipted, Ending.NOTHING_STARTED, "");
+        linked = false;
+        arrive("token", "l", "c");
+        linked = true;
+        tell(() -> host.welcomed(false, Span.ZERO));
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                0 run 2 b
+                0 run 1 a
+                0 run 2 b
+                0 run 3 c, no link
+                0 run 1 a
+                0 run 3 c
+                """);
+    }
+
+    @Test
+    void callsThatEndBadlyAreRepeatedOnlyAfterProofThatNoneRan() {
+        start();
+        long refused = arrive("side_effect", null, "a");
+        callOut(refused);
+        tell(() -> host.callEnded(id(refused), Ending.CONNECTION_REFUSED, null));
+        pass(500);
+        tell(() -> host.callEnded(id(refused), Ending.CLOSED_BY_PEER, null));
+        tell(() -> host.callEnded(id(refused), Ending.WELL, NOTHING));
+        exit(refused, Ending.STOPPED, "");
+        long slow = arrive("pure", null, "b");
+        callOut(slow);
+        pass(2500);
+        tell(() -> host.callEnded(id(slow), Ending.WELL, NOTHING));
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                0 call for 1 q
+                200 call for 1 q
+                500 1 ABANDONED
+                500 run 2 b
+                500 call for 2 q
+                2500 give up the call for 2
+                2500 2 ABANDONED
+                """);
+    }
+
+    @Test
+    void whatTheExecutorWillNotCarryOutIsAbandoned() {
+        start();
+        long one = arrive("pure", null, "a");
+        tell(() -> host.notCarriedOut("EXEC", id(one)));
+        tell(() -> host.notCarriedOut("RETURN", id(one)));
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                0 log the executor did not carry out EXEC 0000000000000001
+                0 1 ABANDONED
+                0 log the executor did not carry out RETURN 0000000000000001
+                """);
+    }
+
+    @Test
+    void ticketsThatCannotBeTakenAreAnsweredAtOnceAndARepeatedTagIsNot() {
+        make(8192);
+        arrive("pure", null, "early");
+        host.welcomed(false, Span.ZERO);
+        trace.setLength(0);
+        arrive("no such track", null, "a");
+        tell(() -> host.arrived(line, ++tag, null));
+        arrive("pure", null, "x".repeat(2049));
+        long taken = arrive("pure", null, "a");
+        assertThat(host.arrived(line, taken, arrival(50, "pure", null, "a"))).isFalse();
+        tell(() -> host.arrived(line, ++tag, arrival(taken, "pure", null, "a")));
+        Arrival stranger = new Arrival(id(60), "pure", "nobody", new SubjectId(0), new CallerId(1), now, 10,
+                0.5, null, new byte[] {'x'});
+        tell(() -> host.arrived(line, ++tag, stranger));
+        assertThat(printed()).isEqualTo("""
+                0 log abandoned a ticket of no known track
+                0 2 ABANDONED
+                0 log abandoned a ticket that can't be read
+                0 3 ABANDONED
+                0 log abandoned a ticket out of bounds
+                0 4 ABANDONED
+                0 run 5 a
+                0 log abandoned a ticket named like another
+                0 6 ABANDONED
+                0 run 60 x
+                """);
+    }
+
+    @Test
+    void ofMoreThan32OpenOnOneConnectionTheRestIsBounced() {
+        set("domain.cpus=40");
+        start();
+        for (int open = 1; open <= 33; open++) {
+            arrive("pure", null, "a");
+        }
+        exit(7, Ending.WELL, "x");
+        arrive("pure", null, "a");
+        assertThat(printed()).endsWith("""
+                0 run 32 a
+                0 log bounced a ticket that came beyond what may be open
+                0 33 BOUNCED
+                0 7 SATISFIED x
+                0 run 34 a
+                """);
+    }
+
+    @Test
+    void allIsAnsweredBeforeTheAbandonTimeReckonedFromWhenItCame() {
+        start();
+        Arrival late = new Arrival(id(1), "pure", "acme", new SubjectId(0), new CallerId(1),
+                now.minus(Span.ofSeconds(1)), 10, 0.5, null, "late".getBytes(StandardCharsets.UTF_8));
+        tell(() -> host.arrived(line, ++tag, late));
+        arrive("side_effect", null, "a");
+        pass(6000);
+        assertThat(printed()).isEqualTo("""
+                0 run 1 late
+                0 run 2 a
+                3998 1 ABANDONED
+                4998 2 ABANDONED
+                """);
+    }
+
+    @Test
+    void idleAndHalfClosedConnectionsGoOnceNothingIsOpenOnThem() {
+        start();
+        long one = arrive("pure", null, "a");
+        tell(() -> host.halfClosed(line));
+        pass(4000);
+        exit(one, Ending.WELL, "result");
+        assertThat(host.connected()).isNotNull();
+        pass(9000);
+        for (int i = 0; i < 2; i++) {
+            assertThat(host.connected()).isNotNull();
+        }
+        assertThat(host.connected()).as("one more than there is room for").isNull();
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                4000 1 SATISFIED result
+                4000 close CLOSED_BY_PEER
+                7000 no more
+                12000 close CLOSED_HERE
+                """);
+    }
+
+    @Test
+    void leavingAsksForNoMoreRunsNothingNewAndAnswersAll() {
+        start();
+        arrive("pure", null, "a");
+        tell(() -> host.leave(Span.ofSeconds(3)));
+        pass(700);
+        arrive("pure", null, "b");
+        assertThat(host.isAnswered()).isFalse();
+        pass(2200);
+        assertThat(host.isAnswered()).isTrue();
+        tell(() -> host.checked(line, 9, true));
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                0 no more
+                700 2 BOUNCED
+                2850 1 ABANDONED
+                2900 9 NOT_GOOD
+                """);
+    }
+
+    @Test
+    void lateNewsNeverHitsASlotThatIsUsedAgain() {
+        Slots<String> slots = new Slots<>(2);
+        long first = slots.put("a");
+        slots.put("b");
+        assertThat(slots.isFull()).isTrue();
+        slots.remove(first);
+        long again = slots.put("c");
+        assertThat(again & 1).as("the same slot").isEqualTo(first & 1);
+        assertThat(slots.get(first)).isNull();
+        assertThat(slots.remove(first)).isNull();
+        assertThat(slots.get(again)).isEqualTo("c");
+    }
+
+    @Test
+    void deadlinesRingInOrderAndWhatTheyAddWaits() {
+        deadlines.at(new Moment(2), () -> say("second"));
+        deadlines.at(new Moment(1), () -> {
+            say("first");
+            deadlines.at(new Moment(1), () -> say("added"));
+        });
+        Deadlines.Deadline off = deadlines.at(new Moment(1), () -> say("called off"));
+        deadlines.callOff(off);
+        deadlines.ring(new Moment(3));
+        say("--");
+        deadlines.ring(new Moment(3));
+        assertThat(printed()).isEqualTo("0 first\n0 second\n0 --\n0 added\n");
+    }
+
+    @Test
+    void onlyWhatWasNeverSentOrSeenProvesThatNothingRan() {
+        assertThat(Arrays.stream(Ending.values()).filter(ending -> ending.outcome().provesNeverRan()))
+                .containsExactly(Ending.NOTHING_STARTED, Ending.SHED, Ending.NOBODY_WAITS,
+                        Ending.CONNECTION_REFUSED, Ending.NEVER_CONNECTED);
+    }
+}
--- /dev/null
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -0,0 +1,372 @@
+package lupinwood.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.*;
+import java.net.*;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.*;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import lupinwood.Brain;
+import lupinwood.log.Log;
+import org.junit.jupiter.api.*;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A node on loopback sockets; the test plays all others by hand. */
+final class ServingTest {
+    private static final int PATIENCE_MS = 20_000;
+    private static final String SETTINGS = """
+            {"domain": {"cpus": 2, "memory_kb": 100000.0, "run_mem_factor": 4.0, "entry_kb": 1.0,
+              "calls_out": 2.0, "below": "one_for_all", "class_calls": [true, true],
+              "advert": "allowance", "upstreams": 1,
+              "gauges": ["core_use", "on_cores"], "keepalive_max_ns": 30000000000, "linger_ns": 200000000,
+              "stop_mode": "off"}, "step_ns": 4000000, "azs": ["a b", "c"],
+             "rules": {"fall_multiple": 5.0, "fall_ns": 2000000000, "drain_grace_ns": 1000000000},
+             "customers": [{"name": "acme", "quota_rps": 54.0}], "bounds": {"max_retry_after_ns": 1000000000},
+             "services": [
+              {"name": "look", "effect": "pure", "aim_ns": 3000000000, "give_up_ns": 9000000000,
+               "worth": 1.0},
+              {"name": "pay", "effect": "token", "aim_ns": 3000000000, "give_up_ns": 9000000000,
+               "window_ns": 9000000000, "worth": 3.0}]}""";
+
+    /** One side of a connection, read by lines and lengths. */
+    private static final class End {
+        private final Socket socket;
+        private final InputStream in;
+
+        End(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(PATIENCE_MS);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        void say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        String bytes(int count) throws IOException {
+            return new String(in.readNBytes(count), StandardCharsets.ISO_8859_1);
+        }
+
+        /** The next line, or null at the end. */
+        String line() throws IOException {
+            StringBuilder line = new StringBuilder();
+            for (int b = in.read(); b != '\n'; b = in.read()) {
+                if (b < 0) {
+                    return null;
+                }
+                line.append((char) b);
+            }
+            return line.toString().strip();
+        }
+
+        /** The next line that isn't about gauges; those are answered. */
+        String command() throws IOException {
+            String line = line();
+            while (line != null && line.startsWith("METER ")) {
+                say("METERS " + line.substring(6) + " 0.5 1\r\n");
+                line = line();
+            }
+            return line;
+        }
+
+        /** The next answer's words; the free value, which changes, is left out. */
+        String answer() throws IOException {
+            String head = line();
+            if (head == null) {
+                return null;
+            }
+            List<String> words = new ArrayList<>();
+            for (int left = Integer.parseInt(head.substring(1)); left > 0; left--) {
+                int length = Integer.parseInt(line().substring(1));
+                words.add(bytes(length));
+                bytes(2);
+            }
+            return String.join(" ", words).replaceAll("signal=[0-9.]+", "+");
+        }
+
+        /** Whether the other side ended it. */
+        boolean isOver() {
+            try {
+                return in.read() < 0;
+            } catch (SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true;
+            }
+        }
+    }
+
+    private static final class Place implements Closeable {
+        private final ServerSocket socket;
+
+        Place() throws IOException {
+            socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            socket.setSoTimeout(PATIENCE_MS);
+        }
+
+        End accept() throws IOException {
+            return new End(socket.accept());
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    @TempDir
+    private Path folder;
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final Log log = new Log(new PrintStream(logged, true), Instant::now);
+    private Place executorPlace;
+    private Place indexPlace;
+    private Place namingPlace;
+    private InetSocketAddress listen;
+    private Serving serving;
+    private End executor;
+
+    @BeforeEach
+    void start() throws Exception {
+        executorPlace = new Place();
+        indexPlace = new Place();
+        namingPlace = new Place();
+        try (Place free = new Place()) {
+            listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.socket.getLocalPort());
+        }
+        serving = new Serving(config(), Brain::new, log);
+        serving.start();
+        executor = executorPlace.accept();
+        assertThat(executor.line()).isEqualTo("JOIN 0");
+        executor.say("WELCOME WARM 12\r\n");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        serving.leave();
+        executorPlace.close();
+        indexPlace.close();
+        namingPlace.close();
+    }
+
+    private NodeConfig config() throws Exception {
+        return read("{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + listen.getPort()
+                + "\",\"executor\":\"127.0.0.1:" + executorPlace.socket.getLocalPort()
+                + "\",\"index\":\"127.0.0.1:"
+                + indexPlace.socket.getLocalPort() + "\",\"naming\":\"127.0.0.1:"
+                + namingPlace.socket.getLocalPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":1500,"
+                + "\"limits\":{\"sockets\":256},\"settings\":" + SETTINGS + "}");
+    }
+
+    private NodeConfig read(String json) throws Exception {
+        return NodeConfig.read(Files.writeString(folder.resolve("config.json"), json));
+    }
+
+    private End dispatcher() throws Exception {
+        End end = new End(new Socket(listen.getAddress(), listen.getPort()));
+        for (int tag = 1; ; tag++) {
+            end.say(array("HEALTH", "" + tag));
+            if (end.answer().equals(tag + " GREEN +")) {
+                return end;
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    private static String array(String... words) {
+        StringBuilder text = new StringBuilder("*" + words.length + "\r\n");
+        for (String word : words) {
+            text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        return text.toString();
+    }
+
+    private static String ticket(int tag, String track, String body) {
+        String fields = String.format("req=%016x,ts=%d,via=1,owner=acme,need=20.5,level=0.5%s", tag,
+                System.currentTimeMillis(), track.equals("pay") ? ",opkey=ab12" : "");
+        return array("REQ", "" + tag, track, fields, body);
+    }
+
+    private void exit(int notice, int tag, String result) throws IOException {
+        executor.say(String.format("EXIT %d %016x OK 5 %d\r\n%s\r\n", notice, tag, result.length(), result));
+    }
+
+    private void expectRun(int tag, String track, String body) throws IOException {
+        String command = String.format("EXEC %016x %s %d", tag, track, body.length());
+        assertThat(executor.command()).isEqualTo(command);
+        assertThat(executor.bytes(body.length() + 2)).isEqualTo(body + "\r\n");
+    }
+
+    @Test
+    void bytesPassUnchangedAndPipelinedTicketsAreAnsweredInAnyOrder() throws Exception {
+        End caller = dispatcher();
+        caller.say(ticket(101, "look", "\r\n*1\r\n\0\u00ff") + ticket(102, "look", ""));
+        expectRun(101, "look", "\r\n*1\r\n\0\u00ff");
+        expectRun(102, "look", "");
+        exit(1, 102, "\r\n\0\u00fe");
+        exit(2, 101, "x".repeat(4096));
+        assertThat(caller.answer()).isEqualTo("102 ACK + \r\n\0\u00fe");
+        assertThat(caller.answer()).isEqualTo("101 ACK + " + "x".repeat(4096));
+    }
+
+    @Test
+    void malformedInputEndsItsConnectionAlone() throws Exception {
+        End caller = dispatcher();
+        caller.say(ticket(101, "look", "a"));
+        expectRun(101, "look", "a");
+        for (String junk : List.of("GET / HTTP/1.1\r\n", array("NOVERB", "200"), array("REQ"),
+                array("ABORT", "0"), ticket(201, "look", "") + ticket(201, "look", ""))) {
+            End other = dispatcher();
+            other.say(junk);
+            if (junk.contains("201")) {
+                expectRun(201, "look", "");
+            }
+            assertThat(other.isOver()).as(junk).isTrue();
+        }
+        caller.say(array("REQ", "102", "look", "req=zz"));
+        assertThat(caller.answer()).isEqualTo("102 FAIL +");
+        exit(1, 101, "done");
+        assertThat(caller.answer()).isEqualTo("101 ACK + done");
+        log.drain();
+        assertThat(logged.toString()).contains("closing the connection with", "an unknown verb");
+    }
+
+    @Test
+    void aCallerThatStopsSendingStillGetsItsAnswerAndOneThatDoesNotReadIsCutOff() throws Exception {
+        End half = dispatcher();
+        half.say(ticket(101, "look", "a"));
+        half.socket.shutdownOutput();
+        expectRun(101, "look", "a");
+        exit(1, 101, "done");
+        assertThat(half.answer()).isEqualTo("101 ACK + done");
+        assertThat(half.isOver()).isTrue();
+        End deaf = dispatcher();
+        String many = array("HEALTH", "5").repeat(2000);
+        assertThatThrownBy(() -> {
+            for (int i = 0; i < 2000; i++) {
+                deaf.say(many);
+            }
+        }).isInstanceOf(IOException.class);
+        dispatcher();
+    }
+
+    @Test
+    void aLostLinkIsReplacedAndItsNoticesCountOnce() throws Exception {
+        End caller = dispatcher();
+        caller.say(ticket(101, "pay", "a") + ticket(102, "look", "b"));
+        expectRun(101, "pay", "a");
+        expectRun(102, "look", "b");
+        exit(1, 101, "paid");
+        assertThat(caller.answer()).isEqualTo("101 ACK + paid");
+        executor.socket.close();
+        executor = executorPlace.accept();
+        assertThat(executor.line()).isEqualTo("JOIN 1");
+        executor.say("WELCOME WARM 900\r\n");
+        exit(1, 102, "a notice read before");
+        exit(2, 102, "seen");
+        assertThat(caller.answer()).isEqualTo("102 ACK + seen");
+        caller.say(ticket(103, "pay", "a") + ticket(104, "pay", "other"));
+        assertThat(caller.answer()).isEqualTo("103 ACK + paid");
+        assertThat(caller.answer()).isEqualTo("104 FAIL +");
+    }
+
+    @Test
+    void callsGoToTheIndexAndAnswersToAnEarlierCallAreNotTakenForALaterOne() throws Exception {
+        End caller = dispatcher();
+        caller.say(ticket(101, "look", "a"));
+        expectRun(101, "look", "a");
+        executor.say(String.format("CALLOUT 1 %016x 3\r\nask\r\n", 101));
+        End index = indexPlace.accept();
+        assertThat(index.line()).matches("GET 0000000000000065 [0-9]+ 3");
+        assertThat(index.line()).isEqualTo("ask");
+        index.socket.close();
+        index = indexPlace.accept();
+        assertThat(index.line()).matches("GET 0000000000000065 [0-9]+ 3");
+        assertThat(index.line()).isEqualTo("ask");
+        index.say(String.format("%016x SHED\r\n%016x HIT 4\r\nlate\r\n", 7, 8));
+        index.say(String.format("%016x HIT 4\r\n\r\n\r\n\r\n", 101));
+        assertThat(executor.command()).isEqualTo(String.format("RETURN %016x 4", 101));
+        assertThat(executor.bytes(6)).isEqualTo("\r\n\r\n\r\n");
+        executor.say(String.format("CALLOUT 2 %016x 3\r\nask\r\n", 101));
+        assertThat(index.line()).startsWith("GET ");
+        assertThat(index.line()).isEqualTo("ask");
+        caller.say(array("ABORT", "101"));
+        executor.say(String.format("EXIT 3 %016x STOPPED 9 0\r\n\r\n", 101));
+        assertThat(index.line()).isEqualTo("STOP 0000000000000065");
+    }
+
+    @Test
+    void theNameServiceHearsAgainAndAgainAlsoAfterItWasDown() throws Exception {
+        End naming = namingPlace.accept();
+        assertThat(naming.line()).isEqualTo("PUT /ns/hosts/n1 HTTP/1.1");
+        naming.socket.close();
+        naming = namingPlace.accept();
+        for (int i = 0; i < 2; i++) {
+            assertThat(naming.line()).isEqualTo("PUT /ns/hosts/n1 HTTP/1.1");
+            while (!naming.line().isEmpty()) {
+                // the other headers
+            }
+            assertThat(naming.bytes(17)).isEqualTo("{\"serving\":\"yes\"}");
+            naming.say("HTTP/1.1 204 No Content\r\n\r\n");
+        }
+    }
+
+    @Test
+    void leavingClosesTheDoorAnswersAllAndIsOverBeforeTheStop() throws Exception {
+        End caller = dispatcher();
+        caller.say(ticket(101, "look", "a"));
+        expectRun(101, "look", "a");
+        Thread leaving = new Thread(() -> {
+            try {
+                serving.leave();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        leaving.start();
+        assertThat(caller.answer()).isEqualTo("0 FIN");
+        assertThatThrownBy(() -> {
+            while (true) {
+                new Socket(listen.getAddress(), listen.getPort()).close();
+            }
+        }).isInstanceOf(ConnectException.class);
+        exit(1, 101, "done");
+        assertThat(caller.answer()).isEqualTo("101 ACK + done");
+        caller.socket.close();
+        leaving.join(PATIENCE_MS);
+        assertThat(leaving.isAlive()).isFalse();
+    }
+
+    @Test
+    void anAddressInUseAndConfigurationsThatCannotBeUsedAreToldPlainly() throws Exception {
+        Serving second = new Serving(config(), Brain::new, log);
+        assertThatThrownBy(second::start).isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> NodeConfig.read(folder.resolve("none"))).hasMessageContaining("can't read");
+        assertThatThrownBy(() -> read("{")).hasMessageContaining("no JSON");
+        assertThatThrownBy(() -> read("[]")).hasMessageContaining("no JSON object");
+        assertThatThrownBy(() -> read("{\"settings\":{}}")).hasMessage("the settings have no 'services'");
+        assertThatThrownBy(() -> read("{\"settings\":" + SETTINGS + "}"))
+                .hasMessage("the configuration has no 'name'");
+        assertThatThrownBy(() -> read("{\"name\":\"n\",\"listen\":\"here\",\"settings\":" + SETTINGS + "}"))
+                .hasMessage("'listen' in the configuration is no address and port: here");
+        assertThat(config().settings()).containsEntry("azs", "a_b,c")
+                .containsEntry("domain.class_calls", "true,true")
+                .containsEntry("services.count", "2").containsEntry("services.1.name", "pay")
+                .containsEntry("customers.0.quota_rps", "54.0").containsEntry("step_ns", "4000000");
+    }
+
+    @Test
+    void aFloodOfOneKindOfLineHidesNoOther() {
+        Log calm = new Log(new PrintStream(logged, true), () -> Instant.ofEpochSecond(7));
+        for (int i = 0; i < 100; i++) {
+            calm.line("bounce " + i);
+        }
+        calm.line("the rare one\nin two");
+        calm.drain();
+        assertThat(logged.toString().lines().filter(line -> line.startsWith("1970"))).hasSize(6)
+                .last().isEqualTo("1970-01-01T00:00:07Z the rare one in two");
+    }
+}
