Begin nothing when told to leave before the executor is up; read customers as the settings write them

Found by reading: a node told to leave before WELCOME would have made its Brain afterwards, which knew of no notice (Host.welcomed); a customer's name with a space or comma is written with _ in the settings and was not matched (DispatcherListener.arrival). A test opens as many connections as there is room for and one more.

--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -256,6 +256,9 @@
             ports.executor().askGauges(replayTag);
             return;
         }
+        if (leaving) {
+            return; // a node that leaves before it had an executor begins nothing
+        }
         Map<String, String> told = new HashMap<>(settings);
         told.put("domain.cold", Boolean.toString(cold));
         Moment present = now;
--- a/src/main/java/lupinwood/net/DispatcherListener.java
+++ b/src/main/java/lupinwood/net/DispatcherListener.java
@@ -231,7 +231,8 @@
         try {
             String subject = fields.getOrDefault("subject", "");
             String receipt = fields.getOrDefault("opkey", "");
-            return new Arrival(new TryId(id), text(items.get(2)), fields.getOrDefault("owner", ""),
+            return new Arrival(new TryId(id), text(items.get(2)),
+                    NodeConfig.word(fields.getOrDefault("owner", "")),
                     new SubjectId(subject.isEmpty() ? 0 : Long.parseUnsignedLong(subject, 16)),
                     new CallerId(Integer.parseInt(fields.getOrDefault("via", "0"))),
                     new Moment(Math.multiplyExact(Long.parseLong(fields.getOrDefault("ts", "")), 1_000_000L)),
--- a/src/main/java/lupinwood/net/ExecutorLink.java
+++ b/src/main/java/lupinwood/net/ExecutorLink.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.Arrays;
-import lupinwood.core.Deadlines;
 import lupinwood.core.Ending;
 import lupinwood.core.Executor;
 import lupinwood.core.Host;
@@ -189,7 +188,8 @@
             return () -> {
                 if (n > last) {
                     if (n > last + 1) {
-                        means.log().line("notices " + (last + 1) + " to " + (n - 1) + " of the executor are missing");
+                        means.log().line("notices " + (last + 1) + " to " + (n - 1)
+                                + " of the executor are missing");
                     }
                     last = n;
                     news.run();
--- a/src/main/java/lupinwood/net/NodeConfig.java
+++ b/src/main/java/lupinwood/net/NodeConfig.java
@@ -133,6 +133,11 @@
     }
 
     private static String plain(JsonElement value) {
-        return value.isJsonPrimitive() ? value.getAsString().replace(' ', '_').replace(',', '_') : "";
+        return value.isJsonPrimitive() ? word(value.getAsString()) : "";
+    }
+
+    /** A text as the settings write it. */
+    static String word(String text) {
+        return text.replace(' ', '_').replace(',', '_');
     }
 }
--- a/src/main/java/lupinwood/net/Outbox.java
+++ b/src/main/java/lupinwood/net/Outbox.java
@@ -20,7 +20,7 @@
     }
 
     Outbox add(String text) {
-        return add(text.getBytes(StandardCharsets.ISO_8859_1));
+        return add(text.getBytes(StandardCharsets.UTF_8));
     }
 
     void flush() {
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -19,7 +19,7 @@
     /** A ticket may cross the notice by as much. */
     private static final Span CROSSING = Span.ofSeconds(0.1);
     /** Before the stop, the process is gone by itself. */
-    private static final Span BEFORE_STOP = Span.ofSeconds(0.1);
+    private static final Span BEFORE_STOP = Span.ofSeconds(0.2);
     private static final Span FIGURES_EVERY = Span.ofSeconds(10);
 
     private final NodeConfig config;
--- a/src/test/java/lupinwood/core/HostTest.java
+++ b/src/test/java/lupinwood/core/HostTest.java
@@ -478,6 +478,19 @@
                 """);
     }
 
+    @Test
+    void aNodeThatLeavesBeforeItsExecutorIsUpBeginsNothing() {
+        make(8192);
+        tell(() -> host.leave(Span.ofSeconds(3)));
+        tell(() -> host.welcomed(false, Span.ZERO));
+        arrive("pure", null, "a");
+        assertThat(printed()).isEqualTo("""
+                0 no more
+                0 log bounced a ticket that came before the executor was up
+                0 1 BOUNCED
+                """);
+    }
+
     @Test
     void lateNewsNeverHitsASlotThatIsUsedAgain() {
         Slots<String> slots = new Slots<>(2);
--- a/src/test/java/lupinwood/net/ServingTest.java
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -256,6 +256,24 @@
         dispatcher();
     }
 
+    @Test
+    void aConnectionMoreThanThereIsRoomForIsClosedAndHarmsNoOther() throws Exception {
+        List<End> callers = new ArrayList<>();
+        for (int i = 0; i < 192; i++) {
+            callers.add(dispatcher());
+        }
+        assertThat(new End(new Socket(listen.getAddress(), listen.getPort())).isOver()).isTrue();
+        End first = callers.get(0);
+        first.say(ticket(101, "look", "a"));
+        expectRun(101, "look", "a");
+        exit(1, 101, "done");
+        assertThat(first.answer()).isEqualTo("101 ACK + done");
+        for (End caller : callers) {
+            caller.socket.close();
+        }
+        dispatcher();
+    }
+
     @Test
     void aLostLinkIsReplacedAndItsNoticesCountOnce() throws Exception {
         End caller = dispatcher();
