--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import lupinwood.node.CustomerId;
-import lupinwood.node.Gauges;
 import lupinwood.node.Moment;
 import lupinwood.node.Node;
 import lupinwood.node.Server;
@@ -34,11 +33,6 @@
     /** Where results go. */
     public record Ports(Dispatchers dispatchers, Executor executor, Index index, Consumer<String> log) {}
 
-    /** A wake-up waits so long for gauges read anew before it does without. */
-    private static final Span GAUGES_WAIT = Span.ofSeconds(0.02);
-    /** A dispatcher that asked for a deep check hears by then at the latest. */
-    private static final Span DEEP_WAIT = Span.ofSeconds(1);
-    private static final int MOST_DEEP = 64;
     /** How long a connection may be idle where the settings don't tell. */
     private static final Span ALWAYS_IDLE = Span.ofSeconds(3600);
     /** On sockets the window of a receipted ticket is longer by this; a repeat so late is not run. */
@@ -46,8 +40,6 @@
     private static final int MOST_BODY = 2048;
     private static final int MOST_KB = 2000;
 
-    private record DeepCheck(ConnectionId connection, long tag, Deadlines.Deadline deadline) {}
-
     private final Map<String, String> settings;
     private final long seed;
     private final Maker maker;
@@ -59,23 +51,16 @@
     private final Receipts receipts;
     private final Map<String, Integer> tracks = new HashMap<>();
     private final Map<String, Integer> customers = new HashMap<>();
-    private final List<String> gaugeNames;
-    private final Map<Long, DeepCheck> deepChecks = new HashMap<>();
+    private final Tags tags = new Tags();
+    private final WakeUps wakeUps;
+    private final HealthChecks checks;
     /** News of the host's own making, told once the node has said all it has to say. */
     private final Deque<Runnable> news = new ArrayDeque<>();
 
     private Moment now;
     private Node node;
     private double advice = -1;
-    private boolean good = true;
-    private boolean fromStore;
     private boolean leaving;
-    private long lastTag;
-    /** The tag under which gauges were asked for a wake-up, or 0. */
-    private long wakeTag;
-    private Deadlines.Deadline wake;
-    private Deadlines.Deadline wakeAnyway;
-    private Gauges gauges = Gauges.UNKNOWN;
     /** The tag whose gauges, when they come, prove that all commands before were read; by link. */
     private long replayTag;
 
@@ -96,7 +81,9 @@
         receipts = new Receipts(bounds.receiptBytes());
         number("services", tracks);
         number("customers", customers);
-        gaugeNames = List.of(settings.getOrDefault("domain.gauges", "").split(","));
+        List<String> gauges = List.of(settings.getOrDefault("domain.gauges", "").split(","));
+        wakeUps = new WakeUps(gauges, deadlines, ports.executor(), tags, this::now, read -> node.wake(read));
+        checks = new HealthChecks(deadlines, ports.executor(), tags, this::now, this::sayHealth);
     }
 
     private void number(String list, Map<String, Integer> places) {
@@ -223,14 +210,7 @@
 
     public void checked(ConnectionId connection, long tag, boolean real) {
         connections.touch(connection);
-        if (node != null && real && !fromStore && deepChecks.size() < MOST_DEEP) {
-            long deep = ++lastTag;
-            deepChecks.put(deep, new DeepCheck(connection, tag,
-                    deadlines.at(now.plus(DEEP_WAIT), () -> diagnosed(deep, false))));
-            ports.executor().checkDeep(deep);
-        } else {
-            sayHealth(connection, tag, node != null && good);
-        }
+        checks.check(connection, tag, real);
     }
 
     private void sayHealth(ConnectionId connection, long tag, boolean well) {
@@ -252,7 +232,7 @@
     public void welcomed(boolean cold, Span age) {
         if (node != null) {
             // Gauges asked for now come after all notices that were missed.
-            replayTag = ++lastTag;
+            replayTag = tags.next();
             ports.executor().askGauges(replayTag);
             return;
         }
@@ -355,13 +335,6 @@
     }
 
     public void gaugesRead(long tag, double[] values) {
-        Map<String, Double> read = new HashMap<>();
-        for (int i = 0; i < values.length && i < gaugeNames.size(); i++) {
-            read.put(gaugeNames.get(i), values[i]);
-        }
-        double none = Double.NaN;
-        gauges = new Gauges(read.getOrDefault("core_use", none), read.getOrDefault("on_cores", none),
-                read.getOrDefault("heap_share", none), read.getOrDefault("links", none));
         if (replayTag != 0 && tag == replayTag) {
             replayTag = 0;
             sendAgain();
@@ -371,17 +344,11 @@
                 taken.unreadReply = tag > taken.repliedAfter ? null : taken.unreadReply;
             });
         }
-        if (tag == wakeTag) {
-            wakeNow(gauges);
-        }
+        wakeUps.read(tag, values);
     }
 
     public void diagnosed(long tag, boolean well) {
-        DeepCheck check = deepChecks.remove(tag);
-        if (check != null) {
-            deadlines.callOff(check.deadline());
-            sayHealth(check.connection(), check.tag(), well && good);
-        }
+        checks.diagnosed(tag, well);
     }
 
     // ---- index ----
@@ -396,7 +363,7 @@
         if (ending == Ending.WELL) {
             taken.callBody = null;
             taken.unreadReply = reply;
-            taken.repliedAfter = lastTag;
+            taken.repliedAfter = tags.last();
             ports.executor().giveReply(id, reply);
         }
         taken.handle.callEnded(ending.outcome(), took);
@@ -416,7 +383,7 @@
     }
 
     private void askToRun(Taken taken) {
-        taken.startedAfter = lastTag;
+        taken.startedAfter = tags.last();
         taken.sent = ports.executor().run(taken.arrival.tryId(), taken.arrival.track(), taken.arrival.body());
     }
 
@@ -536,9 +503,8 @@
     }
 
     @Override
-    public void health(boolean isGood, boolean isFromStore) {
-        good = isGood;
-        fromStore = isFromStore;
+    public void health(boolean good, boolean fromStore) {
+        checks.set(good, fromStore);
     }
 
     @Override
@@ -553,22 +519,7 @@
 
     @Override
     public void wakeAt(Moment moment) {
-        deadlines.callOff(wake);
-        wake = deadlines.at(moment, () -> {
-            if (wakeTag == 0) {
-                wakeTag = ++lastTag;
-                ports.executor().askGauges(wakeTag);
-                // Guards against a link that is lost or slow: the node's alarms must not wait for it.
-                wakeAnyway = deadlines.at(now.plus(GAUGES_WAIT), () -> wakeNow(new Gauges(
-                        Double.NaN, Double.NaN, gauges.memoryShare(), gauges.connections())));
-            }
-        });
-    }
-
-    private void wakeNow(Gauges read) {
-        wakeTag = 0;
-        deadlines.callOff(wakeAnyway);
-        node.wake(read);
+        wakeUps.at(moment);
     }
 
     @Override
@@ -608,7 +559,7 @@
 
     /** Whether everything read has its answer. */
     public boolean isAnswered() {
-        return connections.openTickets() == 0 && deepChecks.isEmpty();
+        return connections.openTickets() == 0 && checks.isIdle();
     }
 
     public int connectionCount() {
--- /dev/null
+++ b/src/main/java/lupinwood/core/Tags.java
@@ -0,0 +1,14 @@
+package lupinwood.core;
+
+/** The tags by which answers of the executor are told apart; a later question has a higher one. */
+final class Tags {
+    private long last;
+
+    long next() {
+        return ++last;
+    }
+
+    long last() {
+        return last;
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/core/WakeUps.java
@@ -0,0 +1,73 @@
+package lupinwood.core;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import lupinwood.node.Gauges;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+
+/** The node's wake-ups, each with gauges read anew where the executor gives them in time. */
+final class WakeUps {
+    /** A wake-up waits so long for gauges before it does without. */
+    private static final Span GAUGES_WAIT = Span.ofSeconds(0.02);
+
+    private final List<String> names;
+    private final Deadlines deadlines;
+    private final Executor executor;
+    private final Tags tags;
+    private final Supplier<Moment> clock;
+    private final Consumer<Gauges> wake;
+    /** The tag under which gauges were asked for a wake-up, or 0. */
+    private long asked;
+    private Deadlines.Deadline next;
+    private Deadlines.Deadline anyway;
+    private Gauges gauges = Gauges.UNKNOWN;
+
+    WakeUps(List<String> names, Deadlines deadlines, Executor executor, Tags tags, Supplier<Moment> clock,
+            Consumer<Gauges> wake) {
+        this.names = names;
+        this.deadlines = deadlines;
+        this.executor = executor;
+        this.tags = tags;
+        this.clock = clock;
+        this.wake = wake;
+    }
+
+    /** The node asks for one wake-up at a time; a later word replaces the one before. */
+    void at(Moment moment) {
+        deadlines.callOff(next);
+        next = deadlines.at(moment, this::due);
+    }
+
+    private void due() {
+        if (asked == 0) {
+            asked = tags.next();
+            // Guards against a link that is lost or slow: the node's alarms must not wait for it.
+            anyway = deadlines.at(clock.get().plus(GAUGES_WAIT), () -> ring(new Gauges(
+                    Double.NaN, Double.NaN, gauges.memoryShare(), gauges.connections())));
+            executor.askGauges(asked);
+        }
+    }
+
+    void read(long tag, double[] values) {
+        Map<String, Double> read = new HashMap<>();
+        for (int i = 0; i < values.length && i < names.size(); i++) {
+            read.put(names.get(i), values[i]);
+        }
+        double none = Double.NaN;
+        gauges = new Gauges(read.getOrDefault("core_use", none), read.getOrDefault("on_cores", none),
+                read.getOrDefault("heap_share", none), read.getOrDefault("links", none));
+        if (tag == asked) {
+            ring(gauges);
+        }
+    }
+
+    private void ring(Gauges known) {
+        asked = 0;
+        deadlines.callOff(anyway);
+        wake.accept(known);
+    }
+}
--- a/src/test/java/lupinwood/net/ServingTest.java
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -317,6 +317,32 @@
         caller.say(array("ABORT", "101"));
         executor.say(String.format("EXIT 3 %016x STOPPED 9 0\r\n\r\n", 101));
         assertThat(index.line()).isEqualTo("STOP 0000000000000065");
+        assertThat(index.isOver()).as("closed here before the index would").isTrue();
+    }
+
+    @Test
+    void anIndexThatRefusesIsAskedAFewTimesAndThenTheTicketIsAbandoned() throws Exception {
+        indexPlace.close();
+        End caller = dispatcher();
+        caller.say(ticket(101, "look", "a"));
+        expectRun(101, "look", "a");
+        executor.say(String.format("CALLOUT 1 %016x 3\r\nask\r\n", 101));
+        assertThat(caller.answer()).isEqualTo("101 FAIL +");
+    }
+
+    @Test
+    void aCallerThatResetsItsConnectionHarmsNoOther() throws Exception {
+        End caller = dispatcher();
+        End reset = dispatcher();
+        reset.say(ticket(101, "look", "a"));
+        expectRun(101, "look", "a");
+        reset.socket.setSoLinger(true, 0);
+        reset.socket.close();
+        caller.say(ticket(102, "look", "b"));
+        expectRun(102, "look", "b");
+        exit(1, 101, "nobody's");
+        exit(2, 102, "done");
+        assertThat(caller.answer()).isEqualTo("102 ACK + done");
     }
 
     @Test
