--- a/src/main/java/lupinwood/core/Connections.java
+++ b/src/main/java/lupinwood/core/Connections.java
@@ -87,11 +87,6 @@
         return new ArrayList<>(connection.open.values());
     }
 
-    boolean isOpen(ConnectionId id, long tag) {
-        Connection connection = table.get(id.number());
-        return connection != null && connection.open.containsKey(tag);
-    }
-
     boolean isFull(ConnectionId id) {
         Connection connection = table.get(id.number());
         return connection == null || connection.open.size() >= MOST_OPEN;
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -9,12 +9,15 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import lupinwood.node.CustomerId;
+import lupinwood.node.Effect;
 import lupinwood.node.Moment;
 import lupinwood.node.Node;
 import lupinwood.node.Server;
+import lupinwood.node.Settings;
 import lupinwood.node.Span;
 import lupinwood.node.Ticket;
 import lupinwood.node.TicketId;
+import lupinwood.node.Track;
 import lupinwood.node.TrackId;
 
 /**
@@ -49,6 +52,7 @@
     private final Slots<Taken> tickets;
     private final Map<TryId, Taken> byTry = new HashMap<>();
     private final Receipts receipts;
+    private final List<Track> says = new ArrayList<>();
     private final Map<String, Integer> tracks = new HashMap<>();
     private final Map<String, Integer> customers = new HashMap<>();
     private final Tags tags = new Tags();
@@ -73,23 +77,26 @@
         this.deadlines = deadlines;
         this.now = now;
         // Dispatchers close idle connections by then; what is left was forgotten.
-        Span longestIdle = new Span(Long.parseLong(settings.getOrDefault("domain.keepalive_max_ns", "0")));
+        Settings read = new Settings(settings);
+        Span longestIdle = read.span("domain.keepalive_max_ns");
         connections = new Connections(bounds.connections(),
                 longestIdle.isPositive() ? longestIdle : ALWAYS_IDLE,
                 ports.dispatchers(), deadlines, this::now);
         tickets = new Slots<>(bounds.tickets());
         receipts = new Receipts(bounds.receiptBytes());
-        number("services", tracks);
-        number("customers", customers);
-        List<String> gauges = List.of(settings.getOrDefault("domain.gauges", "").split(","));
-        wakeUps = new WakeUps(gauges, deadlines, ports.executor(), tags, this::now, read -> node.wake(read));
+        number(read, "services", tracks);
+        number(read, "customers", customers);
+        for (int i = 0; i < read.number("services.count", 0); i++) {
+            says.add(Track.read(read, i));
+        }
+        List<String> names = List.of(read.text("domain.gauges").split(","));
+        wakeUps = new WakeUps(names, deadlines, ports.executor(), tags, this::now, known -> node.wake(known));
         checks = new HealthChecks(deadlines, ports.executor(), tags, this::now, this::sayHealth);
     }
 
-    private void number(String list, Map<String, Integer> places) {
-        int count = Integer.parseInt(settings.getOrDefault(list + ".count", "0"));
-        for (int i = 0; i < count; i++) {
-            places.put(settings.getOrDefault(list + "." + i + ".name", ""), i);
+    private static void number(Settings settings, String list, Map<String, Integer> places) {
+        for (int i = 0; i < settings.number(list + ".count", 0); i++) {
+            places.put(settings.text(list + "." + i + ".name"), i);
         }
     }
 
@@ -139,7 +146,7 @@
      * count, and no answer could be told apart.
      */
     public boolean arrived(ConnectionId connection, long tag, Arrival arrival) {
-        if (connections.isOpen(connection, tag)) {
+        if (connections.open(connection, tag) != null) {
             return false;
         }
         if (node == null || connections.isFull(connection) || tickets.isFull()) {
@@ -253,7 +260,7 @@
         ports.log().accept("the executor was started anew, its runs are lost");
         tickets.forEach(taken -> {
             if (taken.started) {
-                exited(taken.arrival.tryId(), Ending.EXECUTOR_GONE, Span.ZERO, new byte[0]);
+                lost(taken.arrival.tryId(), Ending.EXECUTOR_GONE);
             }
         });
     }
@@ -266,7 +273,7 @@
     private void sendAgain() {
         tickets.forEach(taken -> {
             if (taken.started && !taken.startKnown) {
-                taken.unsure = taken.sent && !taken.answered && !isPure(taken);
+                taken.unsure = taken.sent && !taken.answered && track(taken).effect() != Effect.PURE;
                 if (!taken.unsure) {
                     askToRun(taken);
                 }
@@ -277,8 +284,8 @@
         });
     }
 
-    private boolean isPure(Taken taken) {
-        return "pure".equals(settings.get("services." + tracks.get(taken.arrival.track()) + ".effect"));
+    private Track track(Taken taken) {
+        return says.get(tracks.get(taken.arrival.track()));
     }
 
     public void exited(TryId id, Ending ending, Span took, byte[] result) {
@@ -291,15 +298,25 @@
         if (ending == Ending.WELL && receipt != null) {
             receipts.keepResult(receipt, result);
         }
-        answer(taken, ending == Ending.WELL ? Answer.satisfied(advice, result)
-                : Answer.plain(Answer.Word.ABANDONED, advice));
-        taken.handle.ended(ending.outcome(), took);
+        conclude(taken, ending, took, result);
         if (ending == Ending.WELL && receipt != null) {
             receipt.over = true;
             tellWaiting(receipt, result);
         }
     }
 
+    /** A run ended of which the executor tells nothing. */
+    private void lost(TryId id, Ending ending) {
+        exited(id, ending, Span.ZERO, null);
+    }
+
+    /** The final answer of a run, or of a repeat, unless one was given; and the node hears of the end. */
+    private void conclude(Taken taken, Ending ending, Span took, byte[] result) {
+        answer(taken, ending == Ending.WELL ? Answer.satisfied(advice, result)
+                : Answer.plain(Answer.Word.ABANDONED, advice));
+        taken.handle.ended(ending.outcome(), took);
+    }
+
     private void tellWaiting(Receipts.Receipt receipt, byte[] result) {
         List<TicketId> waiting = new ArrayList<>(receipt.waiting);
         receipt.waiting.clear();
@@ -310,9 +327,7 @@
     private void reused(TicketId id, byte[] result) {
         Taken taken = tickets.get(id.number());
         if (taken != null) {
-            answer(taken, result == null ? Answer.plain(Answer.Word.ABANDONED, advice)
-                    : Answer.satisfied(advice, result));
-            taken.handle.ended((result == null ? Ending.FAILED : Ending.WELL).outcome(), Span.ZERO);
+            conclude(taken, result == null ? Ending.FAILED : Ending.WELL, Span.ZERO, result);
         }
     }
 
@@ -330,7 +345,7 @@
     public void notCarriedOut(String command, TryId id) {
         ports.log().accept("the executor did not carry out " + command + " " + id.digits());
         if (command.equals("EXEC")) {
-            exited(id, Ending.NOT_CARRIED_OUT, Span.ZERO, new byte[0]);
+            lost(id, Ending.NOT_CARRIED_OUT);
         }
     }
 
@@ -455,7 +470,7 @@
         news.add(() -> {
             Taken taken = tickets.get(ticket.number());
             if (taken != null) {
-                exited(taken.arrival.tryId(), Ending.NOT_CARRIED_OUT, Span.ZERO, new byte[0]);
+                lost(taken.arrival.tryId(), Ending.NOT_CARRIED_OUT);
             }
         });
     }
@@ -488,9 +503,7 @@
         Receipts.Receipt receipt =
                 receipts.remember(taken.arrival.receipt(), ticket, ends, taken.arrival.body());
         // A repeat that came in time may be read up to its abandon time later.
-        int track = tracks.get(taken.arrival.track());
-        long abandon = Long.parseLong(settings.getOrDefault("services." + track + ".give_up_ns", "0"));
-        deadlines.at(ends.plus(new Span(abandon)), () -> receipts.drop(receipt));
+        deadlines.at(ends.plus(track(taken).abandon()), () -> receipts.drop(receipt));
     }
 
     @Override
--- a/src/main/java/lupinwood/core/WakeUps.java
+++ b/src/main/java/lupinwood/core/WakeUps.java
@@ -1,8 +1,6 @@
 package lupinwood.core;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import lupinwood.node.Gauges;
@@ -53,13 +51,7 @@
     }
 
     void read(long tag, double[] values) {
-        Map<String, Double> read = new HashMap<>();
-        for (int i = 0; i < values.length && i < names.size(); i++) {
-            read.put(names.get(i), values[i]);
-        }
-        double none = Double.NaN;
-        gauges = new Gauges(read.getOrDefault("core_use", none), read.getOrDefault("on_cores", none),
-                read.getOrDefault("heap_share", none), read.getOrDefault("links", none));
+        gauges = Gauges.named(names, values);
         if (tag == asked) {
             ring(gauges);
         }
--- a/src/main/java/lupinwood/net/LineParser.java
+++ b/src/main/java/lupinwood/net/LineParser.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Predicate;
+import java.util.regex.Pattern;
 
 /** Reads lines of words and, where the last word is a length, the bytes that follow; however split. */
 final class LineParser implements Parser<LineParser.Message> {
@@ -13,6 +14,7 @@
     private static final int MOST_LINE = 4096;
     private static final int MOST_BODY = 1 << 16;
     private static final byte[] NOTHING = {};
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,18}");
 
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
     private final Predicate<String[]> hasBody;
@@ -81,7 +83,7 @@
 
     /** A whole number from 0 up. */
     static long number(String word) throws Malformed {
-        if (!word.matches("[0-9]{1,18}")) {
+        if (!NUMBER.matcher(word).matches()) {
             throw new Malformed("no number: " + (word.length() > 40 ? word.substring(0, 40) : word));
         }
         return Long.parseLong(word);
--- a/src/main/java/lupinwood/net/NamingReporter.java
+++ b/src/main/java/lupinwood/net/NamingReporter.java
@@ -55,13 +55,12 @@
             return;
         }
         busy++;
-        Line line = free.poll();
-        if (line == null) {
-            Line fresh = new Line();
-            fresh.deadline = means.deadlines().at(host.now().plus(PATIENCE), fresh::giveUp);
-            fresh.connect(means.sockets(), address);
+        boolean fresh = free.isEmpty();
+        Line line = fresh ? new Line() : free.poll();
+        line.deadline = means.deadlines().at(host.now().plus(PATIENCE), line::giveUp);
+        if (fresh) {
+            line.connect(means.sockets(), address);
         } else {
-            line.deadline = means.deadlines().at(host.now().plus(PATIENCE), line::giveUp);
             line.say();
         }
     }
--- a/src/main/java/lupinwood/net/Sockets.java
+++ b/src/main/java/lupinwood/net/Sockets.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import lupinwood.core.Ending;
@@ -71,9 +70,8 @@
     void connect(InetSocketAddress address, Peer peer, Consumer<Ending> failure) {
         ConnectFuture future = connector.connect(address,
                 (session, connecting) -> session.setAttribute(PEER, peer));
-        AtomicBoolean told = new AtomicBoolean();
         future.addListener(done -> {
-            if (!future.isConnected() && told.compareAndSet(false, true)) {
+            if (!future.isConnected()) {
                 failure.accept(future.getException() instanceof ConnectException
                         ? Ending.CONNECTION_REFUSED : Ending.NEVER_CONNECTED);
             }
--- a/src/main/java/lupinwood/sim/Drill.java
+++ b/src/main/java/lupinwood/sim/Drill.java
@@ -7,7 +7,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -203,17 +202,11 @@
 
     private static Gauges gauges(Fields fields, List<String> names) {
         fields.u32(); // the timer's tag: a node is woken for whatever is due
-        int count = fields.u8();
-        Map<String, Double> read = new HashMap<>();
-        for (int i = 0; i < count; i++) {
-            double value = fields.f32();
-            if (i < names.size()) {
-                read.put(names.get(i), value);
-            }
+        double[] values = new double[fields.u8()];
+        for (int i = 0; i < values.length; i++) {
+            values[i] = fields.f32();
         }
-        double none = Double.NaN;
-        return new Gauges(read.getOrDefault("core_use", none), read.getOrDefault("on_cores", none),
-                read.getOrDefault("heap_share", none), read.getOrDefault("links", none));
+        return Gauges.named(names, values);
     }
 
     private static Outcome outcome(int code) {
--- a/src/test/java/lupinwood/Machine.java
+++ b/src/test/java/lupinwood/Machine.java
@@ -5,13 +5,13 @@
 import lupinwood.node.*;
 
 /** A machine played by hand: its clock, its settings, and the trace of what its Brain decided. */
-final class Machine implements Server {
+public final class Machine implements Server {
     static final int PURE = 0;
     static final int RECEIPTED = 1;
     static final int EFFECTFUL = 2;
     static final int LOCAL = 3;
 
-    final Map<String, String> settings = new TreeMap<>();
+    public final Map<String, String> settings = new TreeMap<>();
     final List<String> trace = new ArrayList<>();
     final Map<Long, Handle> handles = new HashMap<>();
     /** Who listens to each decision, to check it by another reckoning. */
@@ -24,7 +24,7 @@
     Brain brain;
 
     /** Two cores, four tracks (pure, receipted and effectful that call, and one that never does). */
-    Machine() {
+    public Machine() {
         set("domain.cpus=2 domain.memory_kb=100000 domain.run_mem_factor=4 domain.entry_kb=1"
                 + " domain.below=one_for_all domain.calls_out=2"
                 + " domain.class_calls=true,true,true,false domain.linger_ns=200000000"
@@ -39,7 +39,7 @@
         }
     }
 
-    Machine set(String pairs) {
+    public Machine set(String pairs) {
         for (String pair : pairs.split(" ")) {
             settings.put(pair.substring(0, pair.indexOf('=')), pair.substring(pair.indexOf('=') + 1));
         }
--- a/src/test/java/lupinwood/core/HostTest.java
+++ b/src/test/java/lupinwood/core/HostTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.*;
 import lupinwood.Brain;
+import lupinwood.Machine;
 import lupinwood.node.*;
 import org.junit.jupiter.api.Test;
 
@@ -12,7 +13,7 @@
 final class HostTest implements Dispatchers, Executor, Index {
     private static final byte[] NOTHING = {};
 
-    private final Map<String, String> settings = new TreeMap<>();
+    private final Machine machine = new Machine();
     private final StringBuilder trace = new StringBuilder();
     private final Deadlines deadlines = new Deadlines();
     private Moment now = new Moment(1_000_000_000_000L);
@@ -22,25 +23,10 @@
     private long tag;
 
     HostTest() {
-        set("domain.cpus=2 domain.memory_kb=100000 domain.run_mem_factor=4 domain.entry_kb=1"
-                + " domain.calls_out=2 domain.below=one_for_all domain.class_calls=true,true,true"
-                + " domain.linger_ns=200000000"
-                + " domain.stop_mode=off domain.advert=off step_ns=1000000 rules.fall_multiple=5"
-                + " rules.fall_ns=2000000000 rules.drain_grace_ns=1000000000 services.count=3"
-                + " customers.count=1 customers.0.name=acme bounds.max_retry_after_ns=1000000000"
-                + " domain.gauges=core_use,on_cores,heap_share,links domain.keepalive_max_ns=3000000000");
-        String[] effects = {"pure", "token", "side_effect"};
-        for (int i = 0; i < effects.length; i++) {
-            String at = " services." + i + ".";
-            set((at + "name=" + effects[i] + at + "effect=" + effects[i] + at + "aim_ns=2000000000" + at
-                    + "give_up_ns=5000000000" + at + "window_ns=8000000000" + at + "worth=1").strip());
-        }
-    }
-
-    private void set(String pairs) {
-        for (String pair : pairs.split(" ")) {
-            settings.put(pair.substring(0, pair.indexOf('=')), pair.substring(pair.indexOf('=') + 1));
-        }
+        machine.set("customers.count=1 customers.0.name=acme"
+                + " domain.gauges=core_use,on_cores,heap_share,links domain.keepalive_max_ns=3000000000"
+                + " services.0.name=pure services.1.name=token"
+                + " services.2.name=side_effect");
     }
 
     private void start() {
@@ -51,8 +37,8 @@
     }
 
     private void make(long receiptBytes) {
-        host = new Host(settings, 7, Brain::new, new Host.Ports(this, this, this, this::log), deadlines,
-                new Host.Bounds(4, 40, receiptBytes), now);
+        host = new Host(machine.settings, 7, Brain::new, new Host.Ports(this, this, this, this::log),
+                deadlines, new Host.Bounds(4, 40, receiptBytes), now);
         line = host.connected();
     }
 
@@ -367,7 +353,7 @@
 
     @Test
     void ofMoreThan32OpenOnOneConnectionTheRestIsBounced() {
-        set("domain.cpus=40");
+        machine.set("domain.cpus=40");
         start();
         for (int open = 1; open <= 33; open++) {
             arrive("pure", null, "a");
--- a/src/test/java/lupinwood/net/ServingTest.java
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -206,6 +206,14 @@
         assertThat(executor.bytes(body.length() + 2)).isEqualTo(body + "\r\n");
     }
 
+    /** A dispatcher whose ticket 101 runs. */
+    private End callerWithRun() throws Exception {
+        End caller = dispatcher();
+        caller.say(ticket(101, "look", "a"));
+        expectRun(101, "look", "a");
+        return caller;
+    }
+
     @Test
     void bytesPassUnchangedAndPipelinedTicketsAreAnsweredInAnyOrder() throws Exception {
         End caller = dispatcher();
@@ -220,9 +228,7 @@
 
     @Test
     void malformedInputEndsItsConnectionAlone() throws Exception {
-        End caller = dispatcher();
-        caller.say(ticket(101, "look", "a"));
-        expectRun(101, "look", "a");
+        End caller = callerWithRun();
         for (String junk : List.of("GET / HTTP/1.1\r\n", array("NOVERB", "200"), array("REQ"),
                 array("ABORT", "0"))) {
             End other = dispatcher();
@@ -301,9 +307,7 @@
 
     @Test
     void callsGoToTheIndexAndAnswersToAnEarlierCallAreNotTakenForALaterOne() throws Exception {
-        End caller = dispatcher();
-        caller.say(ticket(101, "look", "a"));
-        expectRun(101, "look", "a");
+        End caller = callerWithRun();
         executor.say(String.format("CALLOUT 1 %016x 3\r\nask\r\n", 101));
         End index = indexPlace.accept();
         assertThat(index.line()).matches("GET 0000000000000065 [0-9]+ 3");
@@ -328,9 +332,7 @@
     @Test
     void anIndexThatRefusesIsAskedAFewTimesAndThenTheTicketIsAbandoned() throws Exception {
         indexPlace.close();
-        End caller = dispatcher();
-        caller.say(ticket(101, "look", "a"));
-        expectRun(101, "look", "a");
+        End caller = callerWithRun();
         executor.say(String.format("CALLOUT 1 %016x 3\r\nask\r\n", 101));
         assertThat(caller.answer()).isEqualTo("101 FAIL +");
     }
@@ -338,9 +340,7 @@
     @Test
     void aCallerThatResetsItsConnectionHarmsNoOther() throws Exception {
         End caller = dispatcher();
-        End reset = dispatcher();
-        reset.say(ticket(101, "look", "a"));
-        expectRun(101, "look", "a");
+        End reset = callerWithRun();
         reset.socket.setSoLinger(true, 0);
         reset.socket.close();
         caller.say(ticket(102, "look", "b"));
@@ -369,9 +369,7 @@
 
     @Test
     void leavingClosesTheDoorAnswersAllAndIsOverBeforeTheStop() throws Exception {
-        End caller = dispatcher();
-        caller.say(ticket(101, "look", "a"));
-        expectRun(101, "look", "a");
+        End caller = callerWithRun();
         Thread leaving = new Thread(() -> {
             try {
                 serving.leave();
