--- a/src/main/java/lupinwood/cli/Main.java
+++ b/src/main/java/lupinwood/cli/Main.java
@@ -27,7 +27,8 @@
             parser.parse(args);
         } catch (ParameterException e) {
             // The library's own text for a word too many speaks of its classes.
-            String said = e.getMessage().replaceFirst("^Was passed main parameter ('.*?').*", "unknown word $1");
+            String said =
+                    e.getMessage().replaceFirst("^Was passed main parameter ('.*?').*", "unknown word $1");
             System.err.println(NAME + ": " + said + "; 'help' lists the commands");
             return USAGE;
         }
--- a/src/main/java/lupinwood/net/IndexLink.java
+++ b/src/main/java/lupinwood/net/IndexLink.java
@@ -171,7 +171,8 @@
             retire();
             means.deadlines().callOff(idle);
             if (!out.isEmpty()) {
-                means.log().line("the connection to the index ended with " + out.size() + " calls out: " + ending);
+                means.log().line(
+                        "the connection to the index ended with " + out.size() + " calls out: " + ending);
             }
             for (TryId id : new ArrayList<>(out)) {
                 if (lines.remove(id, this)) {
