Reload on SIGHUP; one index call a connection; tell a restarted executor by its age

Causes: ExecutorLink.welcome held 0.1 s between two reckonings of the start for a restart, but the executor's age and our clock drift further (half of the former life now tells them apart). IndexLink put all calls on one connection, kept ids only of calls given up, so a second copy of a good reply could pass for the next call's, and one spoilt reply broke all; and 'HIT' without a length passed for an empty reply (log: the executor refused a RETURN as the rule broke).

Now: Hangup in cli, a reload is one step of the deciding thread, each link keeps its state; the old link to the executor is asked for gauges first, so that all commands on it are known to have been read. A call has its connection to itself, an id never comes twice on one. Unknown lines of the executor are passed over.

Also holds against any link or index that is replaced under way; could hurt where a connection to the index is dear. Still open: a RETURN given again after a lost link (Host.sendAgain) can reach a run that had read it: next.

--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -11,8 +11,9 @@
 import lupinwood.net.NodeConfig;
 import lupinwood.net.Serving;
 
-/** Runs one real node until SIGTERM, then leaves in good order. */
-@Parameters(commandDescription = "Serve as a node, on sockets, until SIGTERM")
+/** Runs one real node until SIGTERM, then leaves in good order; SIGHUP has it read its configuration again. */
+@Parameters(commandDescription = "Serve as a node, on sockets, until SIGTERM; SIGHUP reads the configuration"
+        + " again and moves to the addresses of executor, index and naming that it then has")
 final class Serve implements Command {
     private static final int UNUSABLE = 2;
     private static final int FAILED = 1;
@@ -20,6 +21,9 @@
     @Parameter(names = "--config", description = "The node's configuration; else what RELAY_CONFIG names")
     private String file;
 
+    /** Null before the node serves. */
+    private volatile Serving serving;
+
     @Override
     public int run() {
         String path = file != null ? file : System.getenv("RELAY_CONFIG");
@@ -36,16 +40,18 @@
         }
         Log log = Log.start();
         LibraryLogs.sendTo(log);
-        Serving serving = new Serving(config, Brain::new, log);
+        Hangup.onEach(() -> reload(Path.of(path), log));
+        Serving node = new Serving(config, Brain::new, log);
         try {
-            serving.start();
+            node.start();
         } catch (IOException e) {
             // The library's own message says no more than where.
             Throwable cause = e.getCause() == null ? e : e.getCause();
             System.err.println("lupinwood: can't listen on " + config.listen() + ": " + cause.getMessage());
             return FAILED;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(serving, log), "leave"));
+        serving = node;
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(node, log), "leave"));
         try {
             new CountDownLatch(1).await();
         } catch (InterruptedException e) {
@@ -54,6 +60,19 @@
         return 0;
     }
 
+    /** Runs on SIGHUP. What can't be used changes nothing; one line of the log names it. */
+    private void reload(Path path, Log log) {
+        Serving node = serving;
+        try {
+            NodeConfig next = NodeConfig.read(path);
+            if (node != null) {
+                node.reload(next);
+            }
+        } catch (NodeConfig.Unusable e) {
+            log.line("nothing reloaded: " + e.getMessage());
+        }
+    }
+
     /** Runs on SIGTERM. Halting, and not returning, ends the process with 0: all went as it was asked to. */
     private static void leave(Serving serving, Log log) {
         int status = 0;
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -362,6 +362,13 @@
         wakeUps.read(tag, values);
     }
 
+    /** Asks for gauges; when those of this tag come, all commands before were read. */
+    public long askGauges() {
+        long tag = tags.next();
+        ports.executor().askGauges(tag);
+        return tag;
+    }
+
     public void diagnosed(long tag, boolean well) {
         checks.diagnosed(tag, well);
     }
--- a/src/main/java/lupinwood/net/ExecutorLink.java
+++ b/src/main/java/lupinwood/net/ExecutorLink.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Arrays;
+import lupinwood.core.Deadlines;
 import lupinwood.core.Ending;
 import lupinwood.core.Executor;
 import lupinwood.core.Host;
@@ -9,22 +10,34 @@
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
 
-/** The link to the executor, kept open; a lost one is replaced, and the notices missed come once each. */
+/**
+ * The link to the executor, kept open; a lost one is replaced, and the notices missed come once each. To move to
+ * another address the new link is made first; the old one is asked for gauges, whose coming proves that all
+ * before was read, and only then does the new one take its place.
+ */
 final class ExecutorLink implements Executor {
-    private static final Span TRY_AGAIN = Span.ofSeconds(0.1);
-    /** How exactly the executor tells when it started. */
-    private static final Span EXACTLY = Span.ofSeconds(0.1);
+    private static final Span TRY_AGAIN = Span.ofSeconds(0.05);
+    /** A link that stood for longer is replaced without a pause. */
+    private static final Span SETTLED = Span.ofSeconds(0.5);
+    /** A link that is to be replaced has this long to tell that it has read all. */
+    private static final Span HANDOVER = Span.ofSeconds(0.05);
     /** An executor that leaves more than this unread is stuck; the link is made anew. */
     private static final long MOST_WAITING = 4 * 1024 * 1024;
 
-    private final InetSocketAddress address;
     private final Means means;
+    private InetSocketAddress address;
     private Host host;
     /** The number of the last notice read. */
     private long last;
+    /** The link that commands go to, or null. */
     private Link link;
-    /** The executor had started by then; null before that was told. */
-    private Moment startedBy;
+    /** The link made last; it stands in for the other once it has joined. */
+    private Link newest;
+    private Deadlines.Deadline again;
+    /** What the executor last told of its age, and when; and when a link was lost after that, or null. */
+    private Span toldAge;
+    private Moment toldAt;
+    private Moment lostAt;
     private boolean failing;
 
     ExecutorLink(InetSocketAddress address, Means means) {
@@ -38,8 +51,18 @@
         connect();
     }
 
+    /** A new configuration names this address. */
+    void moveTo(InetSocketAddress next) {
+        if (!next.equals(address)) {
+            address = next;
+            connect();
+        }
+    }
+
     private void connect() {
-        new Link().connect(means.sockets(), address);
+        means.deadlines().callOff(again);
+        newest = new Link();
+        newest.connect(means.sockets(), address);
     }
 
     @Override
@@ -63,7 +86,7 @@
     }
 
     private boolean say(String line, byte[] body) {
-        if (link == null || !link.welcomed) {
+        if (link == null || !link.welcomed || link.handsOver != 0) {
             return false;
         }
         link.outbox().add(line).add("\r\n");
@@ -86,6 +109,10 @@
     private final class Link extends Outbound<LineParser.Message> {
         private boolean welcomed;
         private Moment joinedAt;
+        /** The link that this one replaced. */
+        private Link before;
+        /** The tag whose gauges tell that this one can be replaced, or 0. */
+        private long handsOver;
 
         Link() {
             super(means.decider(), new LineParser(words -> switch (words[0]) {
@@ -97,39 +124,78 @@
 
         @Override
         void stands() {
-            link = this;
-            joinedAt = host.now();
-            outbox().add("JOIN " + last + "\r\n");
+            if (this != newest) {
+                outbox().closeNow();
+            } else if (link == null || !link.welcomed) {
+                join();
+            } else {
+                link.handsOver = host.askGauges();
+                means.deadlines().at(host.now().plus(HANDOVER), this::join);
+            }
+        }
+
+        /** From now on this is the link; the executor drops the one before when it reads this. */
+        private void join() {
+            if (this == newest && joinedAt == null) {
+                before = link;
+                link = this;
+                joinedAt = host.now();
+                outbox().add("JOIN " + last + "\r\n");
+            }
         }
 
         @Override
         void ended(Ending ending) {
             if (link == this) {
                 link = null;
+                lostAt = lostAt == null ? host.now() : lostAt;
                 means.log().line("the link to the executor is lost: " + ending);
-            } else if (!failing) {
+                if (newest.outbox() != null) {
+                    newest.join();
+                }
+            } else if (this == newest && !failing) {
                 means.log().line("no link to the executor: " + ending);
             }
-            failing = true;
-            means.deadlines().at(host.now().plus(TRY_AGAIN), ExecutorLink.this::connect);
+            if (this == newest) {
+                if (link != null) {
+                    link.handsOver = 0;
+                }
+                boolean settled = welcomed && SETTLED.compareTo(host.now().since(joinedAt)) < 0;
+                again = means.deadlines().at(host.now().plus(settled ? Span.ZERO : TRY_AGAIN),
+                        ExecutorLink.this::connect);
+                failing = true;
+            }
         }
 
         /** Its notices begin anew with each start, and of the runs of the one before none will end. */
         private void welcome(boolean cold, Span age) {
             welcomed = true;
             failing = false;
-            // It started between these two; a pause of this process may lie between asking and hearing.
-            Moment earliest = joinedAt.minus(age);
-            Moment latest = host.now().minus(age);
-            if (startedBy != null && startedBy.plus(EXACTLY).isBefore(earliest)) {
+            if (before != null) {
+                before.outbox().closeNow();
+                before = null;
+            }
+            if (toldAge != null && startedAnew(age)) {
                 last = 0;
                 host.executorStartedAnew();
-                startedBy = null;
             }
-            startedBy = startedBy == null ? latest : startedBy;
+            toldAge = age;
+            toldAt = host.now();
+            lostAt = null;
             host.welcomed(cold, age);
         }
 
+        /**
+         * One that goes on is older by its whole former life than the time without a link, one that started
+         * since is younger than that time: half of that life tells them apart. Its clock and ours may drift
+         * as far, by pauses of one of the machines or by counting in coarse steps.
+         */
+        private boolean startedAnew(Span age) {
+            Moment away = lostAt == null ? joinedAt : lostAt;
+            Span life = toldAge.plus(away.since(toldAt));
+            return age.compareTo(joinedAt.since(away).plus(life.times(0.5))) < 0;
+        }
+
         @Override
         Runnable read(LineParser.Message message) throws Malformed {
             String[] words = message.words();
@@ -173,13 +239,19 @@
                 for (int i = 0; i < values.length; i++) {
                     values[i] = decimal(words[i + 2]);
                 }
-                return () -> host.gaugesRead(tag, values);
+                return () -> {
+                    host.gaugesRead(tag, values);
+                    if (tag == handsOver) {
+                        newest.join();
+                    }
+                };
             }
             if (words[0].equals("LOG") && words.length > 1) {
                 String text = String.join(" ", Arrays.asList(words).subList(2, words.length));
                 return notice(words[1], () -> means.log().line("the executor says: " + text));
             }
-            throw new Malformed("no notice of the executor: " + words[0]);
+            // A whole line that means nothing here harms nothing; to close the link would cost all runs time.
+            return () -> means.log().line("passed over, from the executor: " + words[0]);
         }
 
         /** Guards against a notice read twice, on a link and again on the one that replaced it. */
--- a/src/main/java/lupinwood/net/IndexLink.java
+++ b/src/main/java/lupinwood/net/IndexLink.java
@@ -1,10 +1,11 @@
 package lupinwood.net;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import lupinwood.core.Deadlines;
@@ -14,20 +15,31 @@
 import lupinwood.core.TryId;
 import lupinwood.node.Span;
 
-/** Calls to the shared index, many on one connection, which is opened when there is one to make. */
+/**
+ * Calls to the shared index: a small pool of connections with one call at a time on each, so that whatever
+ * comes in place of a reply costs that call alone. The one used last is used first; the others soon go.
+ */
 final class IndexLink implements Index {
-    /** Half the time after which the index closes idle connections: a call must never meet that. */
-    private static final Span IDLE = Span.ofSeconds(5);
-    private static final int MOST_GIVEN_UP = 256;
-    private static final long MOST_WAITING = 4 * 1024 * 1024;
+    /**
+     * An idle connection is used again within this. The other side may forget idle ones without a word, and a
+     * reset then looks like that of a call that ran; one that carried a reply just now is no such risk.
+     */
+    private static final Span JUST_USED = Span.ofSeconds(0.5);
+    /** Connections at once; calls past that wait for one, within their caps. */
+    static final int MOST_LINES = 32;
+    /** A connection carries as many calls: their ids are remembered, so that none comes twice on it. */
+    private static final int MOST_CALLS = 64;
+
+    private record Call(TryId id, Span cap, byte[] body) {}
 
-    private final InetSocketAddress address;
     private final Means means;
+    private InetSocketAddress address;
     private final Map<TryId, Line> lines = new HashMap<>();
-    private final Set<Line> toFlush = new LinkedHashSet<>();
+    /** Those without a call, the one used last first. */
+    private final Deque<Line> idle = new ArrayDeque<>();
+    private final Deque<Call> waiting = new ArrayDeque<>();
+    private final Set<Line> toFlush = new HashSet<>();
     private Host host;
-    /** The line that takes new calls, or null. */
-    private Line current;
 
     IndexLink(InetSocketAddress address, Means means) {
         this.address = address;
@@ -39,109 +51,103 @@
         host = served;
     }
 
+    /** New calls go there; those under way may still come back where they are. */
+    void moveTo(InetSocketAddress next) {
+        if (!next.equals(address)) {
+            address = next;
+            List.copyOf(idle).forEach(Line::close);
+        }
+    }
+
     @Override
     public void call(TryId id, Span cap, byte[] body) {
-        // A reply names only the try: a late one to a call given up must not pass for this call's.
-        if (current == null || current.givenUp.contains(id) || current.givenUp.size() > MOST_GIVEN_UP) {
-            Line before = current;
-            current = new Line();
-            current.connect(means.sockets(), address);
-            if (before != null) {
-                before.closeIfDone();
-            }
+        if (lines.size() >= MOST_LINES) {
+            waiting.add(new Call(id, cap, body));
+            return;
         }
-        lines.put(id, current);
-        long millis = Math.max(1, cap.nanos() / 1_000_000);
-        current.send(id, "GET " + id.digits() + " " + millis + " " + body.length + "\r\n", body);
+        // A reply names only the try: a late copy of an earlier one must not pass for this call's.
+        Line line = idle.stream().filter(free -> !free.carried.contains(id)).findFirst().orElse(null);
+        if (line == null) {
+            line = new Line();
+            line.connect(means.sockets(), address);
+        }
+        lines.put(id, line);
+        line.begin(new Call(id, cap, body));
     }
 
     @Override
     public void giveUp(TryId id) {
         Line line = lines.remove(id);
-        if (line != null) {
-            line.giveUp(id);
+        if (line == null) {
+            waiting.removeIf(call -> call.id().equals(id));
+        } else {
+            // Closing gives the call up, and a connection that left a call without a reply is of no more use.
+            line.call = null;
+            line.close();
+            next();
         }
     }
 
-    private void flush() {
-        for (Line line : toFlush) {
-            if (line.outbox() != null) {
-                line.outbox().flush();
-                if (line.outbox().waiting() > MOST_WAITING) {
-                    means.log().line("the index doesn't read: " + Ending.SLOW_READER);
-                    line.outbox().closeNow();
-                }
-            }
+    /** A connection is free for a call that waits. */
+    private void next() {
+        if (!waiting.isEmpty() && lines.size() < MOST_LINES) {
+            Call call = waiting.poll();
+            call(call.id(), call.cap(), call.body());
         }
+    }
+
+    private void flush() {
+        toFlush.forEach(line -> line.outbox().flush());
         toFlush.clear();
     }
 
     private final class Line extends Outbound<LineParser.Message> {
-        private final Set<TryId> out = new HashSet<>();
-        private final Set<TryId> givenUp = new HashSet<>();
-        private final Map<TryId, Runnable> unsent = new HashMap<>();
-        private Deadlines.Deadline idle;
+        private final InetSocketAddress to = address;
+        private final Set<TryId> carried = new HashSet<>();
+        /** The call that is out, or null. */
+        private Call call;
+        private Deadlines.Deadline tooOld;
+        /** It takes no new call. */
+        private boolean closing;
 
         Line() {
             super(means.decider(), new LineParser(words -> words.length == 3 && words[1].equals("HIT")));
         }
 
-        void send(TryId id, String line, byte[] body) {
-            out.add(id);
-            if (outbox() == null) {
-                unsent.put(id, () -> write(line, body));
-            } else {
-                write(line, body);
-            }
-        }
-
-        private void write(String line, byte[] body) {
-            outbox().add(line).add(body).add("\r\n");
-            stirred();
-        }
-
-        void giveUp(TryId id) {
-            out.remove(id);
-            if (unsent.remove(id) == null && outbox() != null) {
-                givenUp.add(id);
-                outbox().add("STOP " + id.digits() + "\r\n");
-                stirred();
-                closeIfDone();
+        void begin(Call begun) {
+            idle.remove(this);
+            means.deadlines().callOff(tooOld);
+            call = begun;
+            carried.add(call.id());
+            if (outbox() != null) {
+                write();
             }
         }
 
-        private void stirred() {
+        private void write() {
+            long millis = Math.max(1, call.cap().nanos() / 1_000_000);
+            outbox().add("GET " + call.id().digits() + " " + millis + " " + call.body().length + "\r\n")
+                    .add(call.body()).add("\r\n");
             toFlush.add(this);
-            means.deadlines().callOff(idle);
-            idle = means.deadlines().at(host.now().plus(IDLE), this::closeIdle);
-        }
-
-        private void closeIdle() {
-            if (out.isEmpty()) {
-                retire();
-                outbox().closeOnFlush();
-            }
-        }
-
-        /** A line that takes no new calls goes with its last one. */
-        void closeIfDone() {
-            if (current != this && out.isEmpty() && outbox() != null) {
-                outbox().closeOnFlush();
-            }
         }
 
-        private void retire() {
-            if (current == this) {
-                current = null;
+        private void close() {
+            closing = true;
+            idle.remove(this);
+            means.deadlines().callOff(tooOld);
+            if (outbox() != null) {
+                toFlush.remove(this);
+                outbox().closeNow();
             }
         }
 
         @Override
         void stands() {
-            unsent.values().forEach(Runnable::run);
-            unsent.clear();
-            stirred();
-            closeIfDone();
+            if (closing) {
+                outbox().closeNow();
+            } else if (call != null) {
+                write();
+            }
         }
 
         @Override
@@ -152,34 +158,46 @@
             }
             TryId id = new TryId(words[0]);
             Ending ending = ending(words[1]);
+            // Guards against a good reply cut short before its length: it must not pass for an empty one.
+            if (words.length != (ending == Ending.WELL ? 3 : 2)) {
+                throw new Malformed("a reply of the index with " + words.length + " words");
+            }
             return () -> reply(id, ending, message.body());
         }
 
+        /** What is not for the call that is out is passed over: a second copy, or another's. */
         private void reply(TryId id, Ending ending, byte[] body) {
-            if (out.remove(id)) {
-                lines.remove(id, this);
-                stirred();
-                host.callEnded(id, ending, body);
-                closeIfDone();
+            if (closing || call == null || !call.id().equals(id)) {
+                return;
+            }
+            release();
+            if (carried.size() >= MOST_CALLS || !to.equals(address)) {
+                close();
             } else {
-                givenUp.remove(id);
+                idle.addFirst(this);
+                tooOld = means.deadlines().at(host.now().plus(JUST_USED), this::close);
             }
+            host.callEnded(id, ending, body);
+            IndexLink.this.next();
+        }
+
+        private void release() {
+            lines.remove(call.id(), this);
+            call = null;
         }
 
         @Override
         void ended(Ending ending) {
-            retire();
-            means.deadlines().callOff(idle);
-            if (!out.isEmpty()) {
-                means.log().line(
-                        "the connection to the index ended with " + out.size() + " calls out: " + ending);
-            }
-            for (TryId id : new ArrayList<>(out)) {
-                if (lines.remove(id, this)) {
-                    host.callEnded(id, ending, null);
-                }
+            boolean reused = carried.size() > 1;
+            TryId id = call == null ? null : call.id();
+            close();
+            if (id != null) {
+                release();
+                means.log().line("a connection to the index ended with a call out: " + ending
+                        + (reused ? ", used before" : ", fresh"));
+                host.callEnded(id, ending, null);
+                IndexLink.this.next();
             }
-            out.clear();
         }
     }
 
--- a/src/main/java/lupinwood/net/NamingReporter.java
+++ b/src/main/java/lupinwood/net/NamingReporter.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import lupinwood.core.Deadlines;
 import lupinwood.core.Ending;
 import lupinwood.core.Host;
@@ -14,10 +15,11 @@
     private static final Span EVERY = Span.ofSeconds(1);
     /** A report that isn't answered by then no longer keeps the node listed; its connection is given up. */
     private static final Span PATIENCE = Span.ofSeconds(3);
-    private static final int MOST_AT_ONCE = 3;
+    /** As many as can be out within the patience: a service that answers none must not silence the reports. */
+    private static final int MOST_AT_ONCE = 4;
     private static final int NO_CONTENT = 204;
 
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final String name;
     private final Means means;
     private final Deque<Line> free = new ArrayDeque<>();
@@ -37,6 +39,17 @@
         beat();
     }
 
+    /** The next reports go there; those under way may still be answered. */
+    void moveTo(InetSocketAddress next) {
+        if (!next.equals(address)) {
+            address = next;
+            List<Line> before = List.copyOf(free);
+            free.clear();
+            before.forEach(line -> line.outbox().closeNow());
+            report();
+        }
+    }
+
     /** One last report, so that the list needn't wait for silence. */
     void leave() {
         leaving = true;
@@ -74,6 +87,7 @@
     }
 
     private final class Line extends Outbound<HttpReplyParser.Reply> {
+        private final InetSocketAddress to = address;
         private Deadlines.Deadline deadline;
         private boolean asked = true;
         private boolean over;
@@ -110,7 +124,7 @@
             }
             heard(reply.status() == NO_CONTENT ? null : "it answered " + reply.status());
             rest();
-            if (reply.keepsOpen()) {
+            if (reply.keepsOpen() && to.equals(address)) {
                 free.add(this);
             } else {
                 ended(Ending.CLOSED_HERE);
--- a/src/main/java/lupinwood/net/NodeConfig.java
+++ b/src/main/java/lupinwood/net/NodeConfig.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.StringJoiner;
 import java.util.TreeMap;
 import lupinwood.node.Span;
 
@@ -70,6 +71,30 @@
                 Span.ofSeconds(number(all, "stop_ms") / 1000), (int) number(limits, "sockets"), settings);
     }
 
+    /** The entries, joined by commas, that differ here and that a node can't change while it runs. */
+    String fixedEntriesUnlike(NodeConfig other) {
+        StringJoiner names = new StringJoiner(", ");
+        if (!name.equals(other.name)) {
+            names.add("name");
+        }
+        if (!listen.equals(other.listen)) {
+            names.add("listen");
+        }
+        if (seed != other.seed) {
+            names.add("seed");
+        }
+        if (!stop.equals(other.stop)) {
+            names.add("stop_ms");
+        }
+        if (sockets != other.sockets) {
+            names.add("limits");
+        }
+        if (!settings.equals(other.settings)) {
+            names.add("settings");
+        }
+        return names.toString();
+    }
+
     private static String text(JsonObject object, String name) throws Unusable {
         JsonElement value = object.get(name);
         if (value == null || !value.isJsonPrimitive() || value.getAsString().isEmpty()) {
@@ -105,7 +130,10 @@
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             if (colon > 0 && port > 0 && port < 1 << 16) {
-                return new InetSocketAddress(text.substring(0, colon), port);
+                InetSocketAddress address = new InetSocketAddress(text.substring(0, colon), port);
+                if (!address.isUnresolved()) {
+                    return address;
+                }
             }
         } catch (NumberFormatException e) {
             // said below, as for a port that can't be used
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -69,6 +69,21 @@
         deadlines.at(host.now().plus(FIGURES_EVERY), this::tellFigures);
     }
 
+    /** Moves to the addresses of a configuration read anew; one step of the deciding thread. */
+    public void reload(NodeConfig next) {
+        String fixed = next.fixedEntriesUnlike(config);
+        if (!fixed.isEmpty()) {
+            log.line("can't change while the node runs, and stays as it was: " + fixed);
+        }
+        decider.tell(() -> {
+            log.line("reloaded: executor " + next.executor() + ", index " + next.index()
+                    + ", naming " + next.naming());
+            executor.moveTo(next.executor());
+            index.moveTo(next.index());
+            naming.moveTo(next.naming());
+        });
+    }
+
     /** The notice to leave: returns once everything read is answered, or just before the stop. */
     public void leave() throws InterruptedException {
         log.line("told to leave");
--- a/src/test/java/lupinwood/net/ServingTest.java
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -159,12 +159,16 @@
     }
 
     private NodeConfig config() throws Exception {
-        return read("{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + listen.getPort()
+        return read(text());
+    }
+
+    private String text() {
+        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + listen.getPort()
                 + "\",\"executor\":\"127.0.0.1:" + executorPlace.socket.getLocalPort()
                 + "\",\"index\":\"127.0.0.1:"
                 + indexPlace.socket.getLocalPort() + "\",\"naming\":\"127.0.0.1:"
                 + namingPlace.socket.getLocalPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":15000,"
-                + "\"limits\":{\"sockets\":256},\"settings\":" + SETTINGS + "}");
+                + "\"limits\":{\"sockets\":256},\"settings\":" + SETTINGS + "}";
     }
 
     private NodeConfig read(String json) throws Exception {
@@ -296,7 +300,7 @@
         executor.socket.close();
         executor = executorPlace.accept();
         assertThat(executor.line()).isEqualTo("JOIN 1");
-        executor.say("WELCOME WARM 900\r\n");
+        executor.say("WELCOME WARM 900\r\nWHAT is this\r\n");
         exit(1, 102, "a notice read before");
         exit(2, 102, "seen");
         assertThat(caller.answer()).isEqualTo("102 ACK + seen");
@@ -306,27 +310,121 @@
     }
 
     @Test
-    void callsGoToTheIndexAndAnswersToAnEarlierCallAreNotTakenForALaterOne() throws Exception {
+    void anExecutorIsHeldToBeAnotherOnlyWhereItIsYoungerThanTheTimeWithoutALink() throws Exception {
         End caller = callerWithRun();
-        executor.say(String.format("CALLOUT 1 %016x 3\r\nask\r\n", 101));
+        for (int age : new int[] {700, 1}) {
+            Thread.sleep(age == 700 ? 0 : 300);
+            executor.socket.close();
+            executor = executorPlace.accept();
+            assertThat(executor.line()).isEqualTo("JOIN 0");
+            executor.say("WELCOME COLD " + age + "\r\n");
+            assertThat(executor.line()).startsWith("METER ");
+        }
+        assertThat(caller.answer()).isEqualTo("101 FAIL +");
+        log.drain();
+        assertThat(logged.toString()).containsOnlyOnce("started anew");
+    }
+
+    @Test
+    void aReloadMovesEachLinkAndLosesNothing() throws Exception {
+        End caller = callerWithRun();
+        callOut(1, 101);
         End index = indexPlace.accept();
-        assertThat(index.line()).matches("GET 0000000000000065 [0-9]+ 3");
+        expectCall(index, 101);
+        caller.say(ticket(102, "pay", "p"));
+        expectRun(102, "pay", "p");
+        End before = executor;
+        executorPlace = new Place();
+        indexPlace = new Place();
+        namingPlace = new Place();
+        serving.reload(config());
+        executor = executorPlace.accept();
+        assertThat(before.line()).startsWith("METER ");
+        before.say(String.format("EXIT 2 %016x OK 5 4\r\npaid\r\n", 102));
+        assertThat(caller.answer()).isEqualTo("102 ACK + paid");
+        assertThat(executor.line()).isEqualTo("JOIN 2");
+        executor.say("WELCOME WARM 900\r\n");
+        assertThat(before.command()).as("the old link goes once the new one is welcomed").isNull();
+        index.say(String.format("%016x HIT 2\r\nok\r\n", 101));
+        expectReply(101, "ok");
+        callOut(3, 101);
+        expectCall(indexPlace.accept(), 101);
+        assertThat(namingPlace.accept().line()).isEqualTo("PUT /ns/hosts/n1 HTTP/1.1");
+        log.drain();
+        assertThat(logged.toString()).contains("reloaded: ").doesNotContain("can't change", "is lost");
+        serving.reload(read(text().replace("15000", "9000").replace("256", "300")));
+        log.drain();
+        assertThat(logged.toString()).contains("stays as it was: stop_ms, limits");
+    }
+
+    /** The executor says that the run waits for a call. */
+    private void callOut(int notice, int tag) throws IOException {
+        executor.say(String.format("CALLOUT %d %016x 3\r\nask\r\n", notice, tag));
+    }
+
+    private static void expectCall(End index, int tag) throws IOException {
+        assertThat(index.line()).matches(String.format("GET %016x [0-9]+ 3", tag));
         assertThat(index.line()).isEqualTo("ask");
+    }
+
+    private void expectReply(int tag, String reply) throws IOException {
+        assertThat(executor.command()).isEqualTo(String.format("RETURN %016x %d", tag, reply.length()));
+        assertThat(executor.bytes(reply.length() + 2)).isEqualTo(reply + "\r\n");
+    }
+
+    @Test
+    void repliesOfTheIndexCountForTheCallThatIsOutOnTheirConnectionAlone() throws Exception {
+        End caller = callerWithRun();
+        callOut(1, 101);
+        End index = indexPlace.accept();
+        expectCall(index, 101);
         index.socket.close();
         index = indexPlace.accept();
-        assertThat(index.line()).matches("GET 0000000000000065 [0-9]+ 3");
-        assertThat(index.line()).isEqualTo("ask");
-        index.say(String.format("%016x SHED\r\n%016x HIT 4\r\nlate\r\n", 7, 8));
-        index.say(String.format("%016x HIT 4\r\n\r\n\r\n\r\n", 101));
-        assertThat(executor.command()).isEqualTo(String.format("RETURN %016x 4", 101));
-        assertThat(executor.bytes(6)).isEqualTo("\r\n\r\n\r\n");
-        executor.say(String.format("CALLOUT 2 %016x 3\r\nask\r\n", 101));
-        assertThat(index.line()).startsWith("GET ");
-        assertThat(index.line()).isEqualTo("ask");
+        expectCall(index, 101);
+        String reply = String.format("%016x HIT 4\r\n\r\n\r\n\r\n", 101);
+        index.say(String.format("%016x SHED\r\n%016x HIT 4\r\nlate\r\n", 7, 8) + reply + reply);
+        expectReply(101, "\r\n\r\n");
+        callOut(2, 101);
+        End second = indexPlace.accept();
+        expectCall(second, 101);
+        caller.say(ticket(102, "look", "b"));
+        expectRun(102, "look", "b");
+        callOut(3, 102);
+        expectCall(index, 102);
         caller.say(array("ABORT", "101"));
-        executor.say(String.format("EXIT 3 %016x STOPPED 9 0\r\n\r\n", 101));
-        assertThat(index.line()).isEqualTo("STOP 0000000000000065");
-        assertThat(index.isOver()).as("closed here before the index would").isTrue();
+        executor.say(String.format("EXIT 4 %016x STOPPED 9 0\r\n\r\n", 101));
+        assertThat(second.isOver()).as("a call given up ends its connection").isTrue();
+        index.say(String.format("%016x HIT 2\r\nok\r\n", 102));
+        expectReply(102, "ok");
+        assertThat(index.isOver()).as("an idle connection soon goes").isTrue();
+    }
+
+    @Test
+    void aSpoiltReplyCostsItsOwnCallAlone() throws Exception {
+        End caller = callerWithRun();
+        callOut(1, 101);
+        End good = indexPlace.accept();
+        expectCall(good, 101);
+        List<String> spoilt = List.of("HIT 3000000000\r\n", "HIT\r\n", "HIT 1 2\r\n", "SHED 0\r\n", "HIT -1\r\n",
+                "HIT 1\r\nab\r\n", "WHAT\r\n", "x".repeat(5000), "HIT 4\n");
+        for (int i = 0; i < spoilt.size(); i++) {
+            int tag = 102 + i / 3;
+            if (i % 3 == 0) {
+                caller.say(ticket(tag, "look", "b"));
+                expectRun(tag, "look", "b");
+                callOut(2 + i, tag);
+            }
+            End index = indexPlace.accept();
+            expectCall(index, tag);
+            index.say(String.format("%016x %s", tag, spoilt.get(i)));
+            assertThat(index.isOver()).as(spoilt.get(i)).isTrue();
+            if (i % 3 == 2) {
+                assertThat(caller.answer()).isEqualTo(tag + " FAIL +");
+                executor.say(String.format("EXIT %d %016x STOPPED 9 0\r\n\r\n", 2 + i, tag));
+            }
+        }
+        good.say(String.format("%016x HIT 2\r\nok\r\n", 101));
+        expectReply(101, "ok");
     }
 
     @Test
