Admit only sound tickets, let strangers go, and settle commands in doubt by the gauge

'no room for one more' 131 times while silent connections held the table. A run was given a reply twice after a lost link (the executor said BAD RETURN as the rule broke): Host.sendAgain.

Checked: the gauge of tickets on the cores against the runs known to be there, 10,000 readings of three nodes: never less (reading makes it more). So 'gauge <= certain runs' proves that a command in doubt was not read; ruled out: giving it again after a while, which only makes the race rarer.

Could hurt: a dispatcher turned away 16 times on a new connection before anything ran must connect again.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -142,7 +142,6 @@
     private double usedKb;
 
     private double limit;
-    private boolean leaving;
     private Moment leftAt;
     private Moment stopsAt;
 
@@ -265,7 +264,7 @@
 
     /** Rule 3: nothing that came over the grace after the notice is run; half of it is kept as a margin. */
     private boolean leavingFor(Held held) {
-        return leaving
+        return leftAt != null
                 && (!held.reached.isBefore(leftAt.plus(settings.span("rules.drain_grace_ns").times(0.5)))
                         || !server.now().isBefore(lastCall()));
     }
@@ -287,6 +286,7 @@
         boolean ran;
         boolean answered;
         boolean failed;
+        boolean neverRan;
         boolean counted;
         boolean cut;
         double startedAt;
@@ -297,6 +297,8 @@
         boolean calmCall;
         CustomerBook customer;
         boolean overShare;
+        /** What it adds for its cost, as reckoned when the hold was last gone through. */
+        double worth;
 
         Held(Ticket ticket) {
             this.ticket = ticket;
@@ -328,10 +330,6 @@
             return left < Math.min(cost(), due.since(reached).seconds() / 2);
         }
 
-        double worth() {
-            return gain() / cost();
-        }
-
         /** The nearer a ticket is to its last call, the less of what lies below its gain still takes. */
         double gainEachCall() {
             return gain() / Math.max(1, track.callsEach() - calls);
@@ -453,7 +451,7 @@
             waitsToCall.remove(this);
             state = State.OVER;
             open.remove(number);
-            if (!ran && unremember()) {
+            if ((!ran || neverRan) && unremember()) {
                 server.forget(ticket.id());
             }
             usedKb -= ticket.memoryKb() + (ran ? runKb() : 0);
@@ -482,6 +480,7 @@
                 }
             }
             failed |= outcome != Outcome.OK;
+            neverRan = outcome.provesNeverRan();
             answered = true;
             over();
         }
@@ -649,7 +648,7 @@
     private void turnAway() {
         double ahead = 0;
         PriorityQueue<Held> soFar = new PriorityQueue<>(
-                Comparator.comparingDouble(Held::worth).thenComparingLong(held -> -held.number));
+                Comparator.<Held>comparingDouble(held -> held.worth).thenComparingLong(held -> -held.number));
         List<Held> gone = new ArrayList<>();
         double running = onCores * meanCost() / 2;
         // A free core always tries what is not old, unless tickets wait to call: else a wrong estimate
@@ -660,6 +659,7 @@
             if (free-- >= 1 && !held.tooOld() && !waits) {
                 continue;
             }
+            held.worth = held.gain() / held.cost();
             soFar.add(held);
             ahead += held.cost();
             double needs = (running + ahead) / cores + held.cost();
@@ -765,7 +765,6 @@
 
     @Override
     public void leave(Span until) {
-        leaving = true;
         leftAt = server.now();
         stopsAt = leftAt.plus(until);
         server.health(false, true);
@@ -820,6 +819,7 @@
     }
 
     private void advise() {
+        boolean leaving = leftAt != null;
         double level = switch (settings.text("domain.advert")) {
             // What can be finished within half the mean agreed time, split among the callers.
             case "allowance" -> leaving ? 0 : cores * Math.max(1, meanAgreed / 2 / Math.max(1e-9, meanCost()))
--- /dev/null
+++ b/src/main/java/lupinwood/core/Admission.java
@@ -0,0 +1,89 @@
+package lupinwood.core;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import lupinwood.node.CustomerId;
+import lupinwood.node.Effect;
+import lupinwood.node.Moment;
+import lupinwood.node.Settings;
+import lupinwood.node.Span;
+import lupinwood.node.Track;
+import lupinwood.node.TrackId;
+
+/**
+ * What may come in as a ticket: readable, known, within the protocol's bounds and in time. All else is answered at
+ * once and never told to the node, whose picture of customers, waiting and cost it would spoil.
+ */
+final class Admission {
+    /** The one fault that may lie with this side: a pause, or a crowd in front of the door. */
+    static final String TOO_LATE = "past its abandon time";
+    private static final int MOST_BODY = 2048;
+    private static final int MOST_KB = 2000;
+    /** Both clocks are this machine's; a ticket from further ahead would outlive its own window. */
+    private static final Span AHEAD = Span.ofSeconds(0.25);
+
+    private final Map<String, Integer> tracks = new HashMap<>();
+    private final Map<String, Integer> customers = new HashMap<>();
+    private final List<Track> says = new ArrayList<>();
+
+    Admission(Settings settings) {
+        number(settings, "services", tracks);
+        number(settings, "customers", customers);
+        for (int i = 0; i < tracks.size(); i++) {
+            says.add(Track.read(settings, i));
+        }
+    }
+
+    private static void number(Settings settings, String list, Map<String, Integer> places) {
+        for (int i = 0; i < settings.number(list + ".count", 0); i++) {
+            places.put(settings.text(list + "." + i + ".name"), i);
+        }
+    }
+
+    TrackId track(Arrival arrival) {
+        return new TrackId(tracks.get(arrival.track()));
+    }
+
+    CustomerId customer(Arrival arrival) {
+        return new CustomerId(customers.get(arrival.customer()));
+    }
+
+    Track says(Arrival arrival) {
+        return says.get(tracks.get(arrival.track()));
+    }
+
+    /** Why it is no sound ticket, or null; the receipt is that of an earlier try with its mark, or null. */
+    String fault(Arrival arrival, Receipts.Receipt receipt, boolean idInUse, Moment now) {
+        if (arrival == null) {
+            return "that can't be read";
+        }
+        if (!tracks.containsKey(arrival.track())) {
+            return "of no known track";
+        }
+        if (!customers.containsKey(arrival.customer())) {
+            return "of no known customer";
+        }
+        if (idInUse) {
+            return "named like another";
+        }
+        Track track = says(arrival);
+        if (track.effect() == Effect.RECEIPTED != (arrival.receipt() != null)) {
+            return "with a mark on the wrong track, or without one";
+        }
+        if (receipt != null && receipt.body != null && !Arrays.equals(receipt.body, arrival.body())) {
+            return "with the mark of another";
+        }
+        if (now.plus(AHEAD).isBefore(arrival.reached())) {
+            return "from the future";
+        }
+        if (!now.isBefore(arrival.reached().plus(track.abandon()))) {
+            return TOO_LATE;
+        }
+        boolean sound = arrival.memoryKb() > 0 && arrival.memoryKb() < MOST_KB && arrival.rank() >= 0
+                && arrival.rank() < 1 && arrival.body().length <= MOST_BODY;
+        return sound ? null : "out of bounds";
+    }
+}
--- a/src/main/java/lupinwood/core/Ending.java
+++ b/src/main/java/lupinwood/core/Ending.java
@@ -13,8 +13,8 @@
     FAILED(Outcome.ERROR),
     /** The executor was started anew during the run, which may have had its effect. */
     EXECUTOR_GONE(Outcome.ERROR),
-    /** The executor would not carry out the command. */
-    NOT_CARRIED_OUT(Outcome.ERROR),
+    /** The executor would not carry out the command to run it: nothing ran. */
+    NOT_CARRIED_OUT(Outcome.MOOT),
     /** The run was stopped, or ended at a call since its ticket is over. */
     STOPPED(Outcome.CANCELLED),
     /** Nothing was started: the ticket was over. */
@@ -39,6 +39,12 @@
     MALFORMED(Outcome.BROKEN),
     /** The other side didn't read what was written to it. */
     SLOW_READER(Outcome.BROKEN),
+    /** The other side never said anything whole, or left off within a message. */
+    SAID_NOTHING(Outcome.BROKEN),
+    /** The other side sent what no one should who knows the protocol. */
+    UNSOUND(Outcome.BROKEN),
+    /** Others needed its place. */
+    MADE_ROOM(Outcome.BROKEN),
     /** This node closed the connection. */
     CLOSED_HERE(Outcome.BROKEN);
 
--- a/src/main/java/lupinwood/core/Executor.java
+++ b/src/main/java/lupinwood/core/Executor.java
@@ -5,8 +5,8 @@
     /** Start a run; false where there is no link to ask on, and so nothing can have started. */
     boolean run(TryId id, String track, byte[] body);
 
-    /** Hand a run the reply to the call that it waits for. */
-    void giveReply(TryId id, byte[] reply);
+    /** Hand a run the reply to the call that it waits for; false where there is no link. */
+    boolean giveReply(TryId id, byte[] reply);
 
     void askGauges(long tag);
 
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import lupinwood.node.CustomerId;
 import lupinwood.node.Effect;
+import lupinwood.node.Gauges;
 import lupinwood.node.Moment;
 import lupinwood.node.Node;
 import lupinwood.node.Server;
@@ -18,7 +18,6 @@
 import lupinwood.node.Ticket;
 import lupinwood.node.TicketId;
 import lupinwood.node.Track;
-import lupinwood.node.TrackId;
 
 /**
  * The machine as its node sees it. News is told to this by one thread, which sets the time first with
@@ -40,8 +39,7 @@
     private static final Span ALWAYS_IDLE = Span.ofSeconds(3600);
     /** On sockets the window of a receipted ticket is longer by this; a repeat so late is not run. */
     private static final Span WINDOW_SLACK = Span.ofSeconds(0.05);
-    private static final int MOST_BODY = 2048;
-    private static final int MOST_KB = 2000;
+    private static final Span ASK_AGAIN = Span.ofSeconds(0.004);
 
     private final Map<String, String> settings;
     private final long seed;
@@ -52,10 +50,9 @@
     private final Slots<Taken> tickets;
     private final Map<TryId, Taken> byTry = new HashMap<>();
     private final Receipts receipts;
-    private final List<Track> says = new ArrayList<>();
-    private final Map<String, Integer> tracks = new HashMap<>();
-    private final Map<String, Integer> customers = new HashMap<>();
+    private final Admission admission;
     private final Tags tags = new Tags();
+    private final List<String> gaugeNames;
     private final WakeUps wakeUps;
     private final HealthChecks checks;
     /** News of the host's own making, told once the node has said all it has to say. */
@@ -67,6 +64,8 @@
     private boolean leaving;
     /** The tag whose gauges, when they come, prove that all commands before were read; by link. */
     private long replayTag;
+    /** When gauges are asked for to settle doubts, or null. */
+    private Deadlines.Deadline doubts;
 
     public Host(Map<String, String> settings, long seed, Maker maker, Ports ports, Deadlines deadlines,
             Bounds bounds, Moment now) {
@@ -84,22 +83,12 @@
                 ports.dispatchers(), deadlines, this::now);
         tickets = new Slots<>(bounds.tickets());
         receipts = new Receipts(bounds.receiptBytes());
-        number(read, "services", tracks);
-        number(read, "customers", customers);
-        for (int i = 0; i < read.number("services.count", 0); i++) {
-            says.add(Track.read(read, i));
-        }
-        List<String> names = List.of(read.text("domain.gauges").split(","));
-        wakeUps = new WakeUps(names, deadlines, ports.executor(), tags, this::now, known -> node.wake(known));
+        admission = new Admission(read);
+        gaugeNames = List.of(read.text("domain.gauges").split(","));
+        wakeUps = new WakeUps(gaugeNames, deadlines, ports.executor(), tags, this::now, known -> node.wake(known));
         checks = new HealthChecks(deadlines, ports.executor(), tags, this::now, this::sayHealth);
     }
 
-    private static void number(Settings settings, String list, Map<String, Integer> places) {
-        for (int i = 0; i < settings.number(list + ".count", 0); i++) {
-            places.put(settings.text(list + "." + i + ".name"), i);
-        }
-    }
-
     // ---- time ----
 
     /** Sets the time; a clock that was set back stands still until it is caught up with. */
@@ -146,55 +135,52 @@
      * count, and no answer could be told apart.
      */
     public boolean arrived(ConnectionId connection, long tag, Arrival arrival) {
+        if (connections.isClosing(connection)) {
+            return true;
+        }
         if (connections.open(connection, tag) != null) {
             return false;
         }
-        if (node == null || connections.isFull(connection) || tickets.isFull()) {
+        boolean tooMany = connections.isFull(connection);
+        if (node == null || tooMany || tickets.isFull()) {
             String why = node == null ? "before the executor was up" : "beyond what may be open";
             ports.log().accept("bounced a ticket that came " + why);
             Span pause = Span.ofSeconds(node == null ? 1 : 0);
             ports.dispatchers().answer(connection, tag, Answer.bounced(advice, pause, false));
+            if (tooMany) {
+                connections.fault(connection);
+            }
             return true;
         }
-        String fault = fault(arrival);
+        Receipts.Receipt receipt =
+                arrival == null ? null : receipts.find(arrival.receipt(), arrival.reached());
+        boolean idInUse = arrival != null && byTry.containsKey(arrival.tryId());
+        String fault = admission.fault(arrival, receipt, idInUse, now);
         if (fault != null) {
             ports.log().accept("abandoned a ticket " + fault);
             ports.dispatchers().answer(connection, tag, Answer.plain(Answer.Word.ABANDONED, advice));
+            if (fault.equals(Admission.TOO_LATE)) {
+                connections.unwanted(connection);
+            } else {
+                connections.fault(connection);
+            }
             return true;
         }
         Taken taken = new Taken(connection, tag, arrival);
         taken.id = new TicketId(tickets.put(taken));
         byTry.put(arrival.tryId(), taken);
         connections.begin(connection, tag, taken.id);
-        take(taken, tracks.get(arrival.track()));
+        take(taken, receipt);
         return true;
     }
 
-    /** Why a ticket can't be taken, or null. */
-    private String fault(Arrival arrival) {
-        if (arrival == null) {
-            return "that can't be read";
-        }
-        if (!tracks.containsKey(arrival.track())) {
-            return "of no known track";
-        }
-        if (byTry.containsKey(arrival.tryId())) {
-            return "named like another";
-        }
-        boolean sound = arrival.memoryKb() > 0 && arrival.memoryKb() < MOST_KB && arrival.rank() >= 0
-                && arrival.rank() < 1 && arrival.body().length <= MOST_BODY;
-        return sound ? null : "out of bounds";
-    }
-
-    private void take(Taken taken, int track) {
+    private void take(Taken taken, Receipts.Receipt original) {
         Arrival arrival = taken.arrival;
-        taken.original = receipts.find(arrival.receipt(), arrival.reached());
+        taken.original = original;
         Span waited = now.since(arrival.reached()).max(Span.ZERO);
-        // A customer that isn't in the settings has no share that could be reckoned.
-        CustomerId customer = new CustomerId(customers.getOrDefault(arrival.customer(), customers.size()));
-        taken.handle = node.take(new Ticket(taken.id, new TrackId(track), customer, arrival.subject(),
-                arrival.caller(), Span.ZERO, Span.ZERO, arrival.memoryKb(), arrival.rank(), waited,
-                taken.original == null ? null : taken.original.ticket));
+        taken.handle = node.take(new Ticket(taken.id, admission.track(arrival), admission.customer(arrival),
+                arrival.subject(), arrival.caller(), Span.ZERO, Span.ZERO, arrival.memoryKb(), arrival.rank(),
+                waited, original == null ? null : original.ticket));
     }
 
     /** The dispatcher waits no more for it. */
@@ -202,10 +188,16 @@
         TicketId ticket = connections.open(connection, tag);
         if (ticket != null) {
             connections.end(connection, tag);
+            connections.unwanted(connection);
             left(ticket);
         }
     }
 
+    /** A message on it was begun and never ended. */
+    public void leftOff(ConnectionId connection) {
+        connections.leftOff(connection);
+    }
+
     private void left(TicketId id) {
         Taken taken = tickets.get(id.number());
         if (taken != null && !taken.answered) {
@@ -266,26 +258,71 @@
     }
 
     /**
-     * After a lost link: what was sent last may not have been read. A pure ticket's run may be asked for
-     * again, and a run that goes on ignores it; a receipted or effectful one might have ended just now and
-     * run twice, so it is only asked for again once answered, when the executor would start nothing.
+     * After a lost link: what was sent last may not have been read. What was never written is written now, and a
+     * pure ticket's run may be asked for twice, since a run that goes on ignores it. All else is in doubt.
      */
     private void sendAgain() {
         tickets.forEach(taken -> {
             if (taken.started && !taken.startKnown) {
-                taken.unsure = taken.sent && !taken.answered && track(taken).effect() != Effect.PURE;
-                if (!taken.unsure) {
+                if (taken.sent && track(taken).effect() != Effect.PURE) {
+                    taken.unsure = true;
+                } else {
                     askToRun(taken);
                 }
+            } else if (taken.unreadReply != null && !taken.answered) {
+                taken.unsure = taken.replySent;
+                if (!taken.unsure) {
+                    giveReply(taken);
+                }
             }
-            if (taken.unreadReply != null && !taken.answered) {
-                ports.executor().giveReply(taken.arrival.tryId(), taken.unreadReply);
+        });
+    }
+
+    private void giveReply(Taken taken) {
+        taken.repliedAfter = tags.last();
+        taken.replySent = ports.executor().giveReply(taken.arrival.tryId(), taken.unreadReply);
+    }
+
+    /**
+     * Commands in doubt must not simply be given again: a receipted run might have ended just now and run twice, and
+     * a run that has its reply would take the same for that to its next call. The gauge of tickets on the cores
+     * tells: it counts every run there (and what else uses them), and all notices up to it were read before. Where
+     * it counts no more than the runs that are there for certain, none of those in doubt is, so none of the commands
+     * was read. Until it does it is asked for again.
+     */
+    private void settleDoubts(double onCores) {
+        int[] certain = {0};
+        List<Taken> doubtful = new ArrayList<>();
+        tickets.forEach(taken -> {
+            if (taken.unsure) {
+                doubtful.add(taken);
+            } else if (taken.startKnown && taken.callBody == null && taken.unreadReply == null) {
+                certain[0]++;
             }
         });
+        if (doubtful.isEmpty() || Double.isNaN(onCores)) {
+            return;
+        }
+        if (onCores <= certain[0]) {
+            ports.log().accept("commands lost with a link, given again: " + doubtful.size());
+            for (Taken taken : doubtful) {
+                taken.unsure = false;
+                if (!taken.startKnown) {
+                    askToRun(taken);
+                } else if (!taken.answered) {
+                    giveReply(taken);
+                }
+            }
+        } else if (doubts == null) {
+            doubts = deadlines.at(now.plus(ASK_AGAIN), () -> {
+                doubts = null;
+                ports.executor().askGauges(tags.next());
+            });
+        }
     }
 
     private Track track(Taken taken) {
-        return says.get(tracks.get(taken.arrival.track()));
+        return admission.says(taken.arrival);
     }
 
     public void exited(TryId id, Ending ending, Span took, byte[] result) {
@@ -294,6 +331,9 @@
             return;
         }
         dropCall(taken);
+        if (!ending.outcome().provesNeverRan()) {
+            connections.trust(taken.connection);
+        }
         Receipts.Receipt receipt = receipts.of(taken.id);
         if (ending == Ending.WELL && receipt != null) {
             receipts.keepResult(receipt, result);
@@ -334,7 +374,9 @@
     public void calledOut(TryId id, byte[] body) {
         Taken taken = byTry.get(id);
         if (taken != null && taken.started) {
+            connections.trust(taken.connection);
             taken.startKnown = true;
+            taken.unsure = false;
             taken.unreadReply = null;
             taken.callBody = body;
             taken.handle.needsCall();
@@ -345,7 +387,11 @@
     public void notCarriedOut(String command, TryId id) {
         ports.log().accept("the executor did not carry out " + command + " " + id.digits());
         if (command.equals("EXEC")) {
-            lost(id, Ending.NOT_CARRIED_OUT);
+            Taken taken = byTry.get(id);
+            if (taken != null) {
+                lost(id, Ending.NOT_CARRIED_OUT);
+                connections.fault(taken.connection);
+            }
         }
     }
 
@@ -355,10 +401,14 @@
             sendAgain();
         } else if (replayTag == 0) {
             tickets.forEach(taken -> {
-                taken.startKnown |= taken.sent && !taken.unsure && tag > taken.startedAfter;
-                taken.unreadReply = tag > taken.repliedAfter ? null : taken.unreadReply;
+                taken.startKnown |= taken.started && taken.sent && !taken.unsure && tag > taken.startedAfter;
+                taken.unreadReply = taken.replySent && !taken.unsure && tag > taken.repliedAfter ? null
+                        : taken.unreadReply;
             });
         }
+        if (replayTag == 0) {
+            settleDoubts(Gauges.named(gaugeNames, values).wantingCore());
+        }
         wakeUps.read(tag, values);
     }
 
@@ -385,8 +435,7 @@
         if (ending == Ending.WELL) {
             taken.callBody = null;
             taken.unreadReply = reply;
-            taken.repliedAfter = tags.last();
-            ports.executor().giveReply(id, reply);
+            giveReply(taken);
         }
         taken.handle.callEnded(ending.outcome(), took);
     }
@@ -411,7 +460,7 @@
 
     /** Once answered nothing can start any more, so asking is safe, and tells whether it runs. */
     private void askIfUnsure(Taken taken) {
-        if (taken.unsure) {
+        if (taken.unsure && !taken.startKnown) {
             taken.unsure = false;
             askToRun(taken);
         }
@@ -444,6 +493,7 @@
         Taken taken = tickets.get(ticket.number());
         if (taken != null) {
             answer(taken, Answer.bounced(advice, comeBackAfter, askNoOther));
+            connections.unwanted(taken.connection);
         }
     }
 
@@ -477,7 +527,7 @@
         news.add(() -> {
             Taken taken = tickets.get(ticket.number());
             if (taken != null) {
-                lost(taken.arrival.tryId(), Ending.NOT_CARRIED_OUT);
+                lost(taken.arrival.tryId(), Ending.FAILED);
             }
         });
     }
--- a/src/main/java/lupinwood/core/Taken.java
+++ b/src/main/java/lupinwood/core/Taken.java
@@ -20,7 +20,7 @@
     boolean sent;
     /** Something was heard that proves that the executor read that command. */
     boolean startKnown;
-    /** The command may have been lost with a link, and is not to be given again before an answer. */
+    /** The last command, to run it or with a reply, may have been lost with a link. */
     boolean unsure;
     /** The last tag asked about before the command to run it, and before the latest reply, was written. */
     long startedAfter;
@@ -29,6 +29,8 @@
     byte[] callBody;
     /** The reply last handed to its run, until it is known to have been read. */
     byte[] unreadReply;
+    /** It was written to a link, so it may have been read. */
+    boolean replySent;
     /** When the call that is out was made; null while none is. */
     Moment calledAt;
     Deadlines.Deadline callCap;
--- a/src/main/java/lupinwood/net/Decider.java
+++ b/src/main/java/lupinwood/net/Decider.java
@@ -19,8 +19,8 @@
  */
 final class Decider {
     /** Where socket threads wait when deciding falls behind, which in turn lets the senders wait. */
-    private static final int MOST_NEWS = 2048;
-    private static final int MOST_AT_ONCE = 512;
+    private static final int MOST_NEWS = 1024;
+    private static final int MOST_AT_ONCE = 256;
     private static final long LONGEST_WAIT = TimeUnit.SECONDS.toNanos(1);
 
     private final BlockingQueue<Runnable> inbox = new ArrayBlockingQueue<>(MOST_NEWS);
@@ -75,6 +75,13 @@
         }
     }
 
+    /** All that one read brought: one hand-over, however many messages. */
+    void tell(List<Runnable> news) {
+        if (!news.isEmpty()) {
+            tell(() -> news.forEach(this::guarded));
+        }
+    }
+
     private void decide() {
         try {
             while (!stopped) {
--- a/src/main/java/lupinwood/net/DispatcherListener.java
+++ b/src/main/java/lupinwood/net/DispatcherListener.java
@@ -4,6 +4,7 @@
 import java.math.RoundingMode;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -13,6 +14,7 @@
 import lupinwood.core.Answer;
 import lupinwood.core.Arrival;
 import lupinwood.core.ConnectionId;
+import lupinwood.core.Deadlines;
 import lupinwood.core.Dispatchers;
 import lupinwood.core.Ending;
 import lupinwood.core.Host;
@@ -21,6 +23,7 @@
 import lupinwood.log.Log;
 import lupinwood.node.CallerId;
 import lupinwood.node.Moment;
+import lupinwood.node.Span;
 import lupinwood.node.SubjectId;
 import org.apache.mina.core.session.IoSession;
 
@@ -31,16 +34,21 @@
     /** What may wait for all together; past it whoever has more than a few answers waiting is cut off. */
     private static final long MOST_WAITING_ALL = 12 * 1024 * 1024;
     private static final long FEW = 16 * 1024;
+    private static final int MOST_DIGITS = 18;
+    /** A message that was begun is whole by then. */
+    private static final Span TIME_TO_END = Span.ofSeconds(1.5);
     private static final byte[] NOTHING = {};
 
     private final Decider decider;
+    private final Deadlines deadlines;
     private final Log log;
     private final Map<ConnectionId, Caller> callers = new HashMap<>();
     private final Set<Caller> toFlush = new LinkedHashSet<>();
     private Host host;
 
-    DispatcherListener(Decider decider, Log log) {
+    DispatcherListener(Decider decider, Deadlines deadlines, Log log) {
         this.decider = decider;
+        this.deadlines = deadlines;
         this.log = log;
         decider.addWriter(this::flush);
     }
@@ -89,9 +97,12 @@
         if (caller != null) {
             if (why != Ending.CLOSED_BY_PEER) {
                 log.line("closing a dispatcher's connection: " + why);
-                caller.outbox.closeNow();
-            } else {
+            }
+            if (why == Ending.CLOSED_BY_PEER || why == Ending.UNSOUND) {
+                caller.over = true;
                 caller.outbox.closeOnFlush();
+            } else {
+                caller.outbox.closeNow();
             }
         }
     }
@@ -139,6 +150,12 @@
         private final RespParser parser = new RespParser();
         private Outbox outbox;
         private ConnectionId id;
+        /** Nothing more is read from it; set by the deciding thread. */
+        private volatile boolean over;
+        /** How many messages came, and whether one is begun, as told by the socket thread. */
+        private volatile long messages;
+        private volatile boolean midway;
+        private boolean watched;
 
         @Override
         public void opened(IoSession session) {
@@ -158,11 +175,41 @@
 
         @Override
         public void received(ByteBuffer bytes) throws Malformed {
-            for (List<byte[]> items = parser.next(bytes); items != null; items = parser.next(bytes)) {
-                Runnable news = read(items);
-                decider.tell(() -> {
-                    if (id != null) {
-                        news.run();
+            if (over) {
+                return;
+            }
+            List<Runnable> news = new ArrayList<>();
+            try {
+                for (List<byte[]> items = parser.next(bytes); items != null; items = parser.next(bytes)) {
+                    Runnable read = read(items);
+                    messages++;
+                    news.add(() -> {
+                        if (id != null) {
+                            read.run();
+                        }
+                    });
+                }
+                boolean was = midway;
+                midway = parser.isMidway();
+                if (midway && !was) {
+                    news.add(this::watch);
+                }
+            } finally {
+                decider.tell(news);
+            }
+        }
+
+        /** Guards against a message that never ends, however little or much comes of it. */
+        private void watch() {
+            if (!watched && id != null && midway) {
+                watched = true;
+                long before = messages;
+                deadlines.at(host.now().plus(TIME_TO_END), () -> {
+                    watched = false;
+                    if (midway && messages == before && id != null) {
+                        host.leftOff(id);
+                    } else {
+                        watch();
                     }
                 });
             }
@@ -225,7 +272,7 @@
         }
         Map<String, String> fields = fields(text(items.get(3)));
         String id = fields.get("req");
-        if (!TryId.isValid(id)) {
+        if (!TryId.isValid(id) || !fields.getOrDefault("opkey", "").matches("[0-9a-fA-F]{0,64}")) {
             return null;
         }
         try {
@@ -234,10 +281,9 @@
             return new Arrival(new TryId(id), text(items.get(2)),
                     NodeConfig.word(fields.getOrDefault("owner", "")),
                     new SubjectId(subject.isEmpty() ? 0 : Long.parseUnsignedLong(subject, 16)),
-                    new CallerId(Integer.parseInt(fields.getOrDefault("via", "0"))),
-                    new Moment(Math.multiplyExact(Long.parseLong(fields.getOrDefault("ts", "")), 1_000_000L)),
-                    Double.parseDouble(fields.getOrDefault("need", "")),
-                    Double.parseDouble(fields.getOrDefault("level", "0")),
+                    new CallerId(Math.toIntExact(whole(fields.get("via")))),
+                    new Moment(Math.multiplyExact(whole(fields.get("ts")), 1_000_000L)),
+                    decimal(fields.get("need")), decimal(fields.get("level")),
                     receipt.isEmpty() ? null : new ReceiptKey(receipt),
                     items.size() > 4 ? items.get(4) : NOTHING);
         } catch (ArithmeticException | NumberFormatException e) {
@@ -245,6 +291,26 @@
         }
     }
 
+    private static long whole(String text) {
+        return Long.parseLong(figure(text, false));
+    }
+
+    private static double decimal(String text) {
+        return Double.parseDouble(figure(text, true));
+    }
+
+    /** Digits, with one point among them where that may be: less than the language's own readers take. */
+    private static String figure(String text, boolean mayHavePoint) {
+        int points = 0;
+        for (int i = 0; text != null && i < text.length(); i++) {
+            points += text.charAt(i) == '.' ? 1 : text.charAt(i) >= '0' && text.charAt(i) <= '9' ? 0 : 2;
+        }
+        if (text == null || text.length() > MOST_DIGITS || points > (mayHavePoint ? 1 : 0)) {
+            throw new NumberFormatException("no figure");
+        }
+        return text;
+    }
+
     private static Map<String, String> fields(String text) {
         Map<String, String> fields = new HashMap<>();
         for (String field : text.split(",")) {
--- a/src/main/java/lupinwood/net/ExecutorLink.java
+++ b/src/main/java/lupinwood/net/ExecutorLink.java
@@ -71,8 +71,8 @@
     }
 
     @Override
-    public void giveReply(TryId id, byte[] reply) {
-        say("RETURN " + id.digits() + " " + reply.length, reply);
+    public boolean giveReply(TryId id, byte[] reply) {
+        return say("RETURN " + id.digits() + " " + reply.length, reply);
     }
 
     @Override
--- a/src/main/java/lupinwood/net/Outbound.java
+++ b/src/main/java/lupinwood/net/Outbound.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import lupinwood.core.Ending;
 import org.apache.mina.core.session.IoSession;
 
@@ -44,8 +46,13 @@
 
     @Override
     public final void received(ByteBuffer bytes) throws Malformed {
-        for (T message = parser.next(bytes); message != null; message = parser.next(bytes)) {
-            decider.tell(read(message));
+        List<Runnable> news = new ArrayList<>();
+        try {
+            for (T message = parser.next(bytes); message != null; message = parser.next(bytes)) {
+                news.add(read(message));
+            }
+        } finally {
+            decider.tell(news);
         }
     }
 
--- a/src/main/java/lupinwood/net/RespParser.java
+++ b/src/main/java/lupinwood/net/RespParser.java
@@ -20,6 +20,11 @@
     private byte[] item;
     private int filled;
 
+    /** Whether a message is begun and not whole. */
+    boolean isMidway() {
+        return at != At.ARRAY || !digits.isEmpty();
+    }
+
     @Override
     public List<byte[]> next(ByteBuffer in) throws Malformed {
         while (in.hasRemaining()) {
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -39,7 +39,7 @@
         this.log = log;
         decider = new Decider(deadlines, log);
         sockets = new Sockets(log);
-        listener = new DispatcherListener(decider, log);
+        listener = new DispatcherListener(decider, deadlines, log);
         Means means = new Means(sockets, decider, deadlines, log);
         executor = new ExecutorLink(config.executor(), means);
         index = new IndexLink(config.index(), means);
--- a/src/main/java/lupinwood/node/Histogram.java
+++ b/src/main/java/lupinwood/node/Histogram.java
@@ -6,9 +6,20 @@
     private static final double LOWEST = 1e-4;
     private static final double STEP = Math.sqrt(2);
 
+    private static final double[] MIDDLES = new double[BINS];
+
+    static {
+        for (int i = 0; i < BINS; i++) {
+            MIDDLES[i] = LOWEST * Math.pow(STEP, i + 0.5);
+        }
+    }
+
     private final double[] bins = new double[BINS];
     private final double fullAt;
     private double weight;
+    /** Asked for far more often than figures come; NaN where it has to be reckoned anew. */
+    private double mean = Double.NaN;
+    private double median = Double.NaN;
 
     public Histogram(double fullAt) {
         this.fullAt = fullAt;
@@ -18,6 +29,8 @@
         double place = Math.log(Math.max(figure, LOWEST) / LOWEST) / Math.log(STEP);
         bins[Math.min(BINS - 1, (int) place)] += 1;
         weight += 1;
+        mean = Double.NaN;
+        median = Double.NaN;
         if (weight >= fullAt) {
             for (int i = 0; i < BINS; i++) {
                 bins[i] /= 2;
@@ -31,25 +44,24 @@
     }
 
     public double median() {
-        double below = 0;
-        for (int i = 0; i < BINS; i++) {
-            below += bins[i];
-            if (below * 2 >= weight) {
-                return middle(i);
+        if (Double.isNaN(median)) {
+            int bin = 0;
+            for (double below = bins[0]; below * 2 < weight && bin < BINS - 1; below += bins[bin]) {
+                bin++;
             }
+            median = MIDDLES[bin];
         }
-        return middle(BINS - 1);
+        return median;
     }
 
     public double mean() {
-        double sum = 0;
-        for (int i = 0; i < BINS; i++) {
-            sum += bins[i] * middle(i);
+        if (Double.isNaN(mean)) {
+            double sum = 0;
+            for (int i = 0; i < BINS; i++) {
+                sum += bins[i] * MIDDLES[i];
+            }
+            mean = weight > 0 ? sum / weight : 0;
         }
-        return weight > 0 ? sum / weight : 0;
-    }
-
-    private static double middle(int bin) {
-        return LOWEST * Math.pow(STEP, bin + 0.5);
+        return mean;
     }
 }
