Ask strangers that are turned away to close, tell the time anew for each hand-over

Cause: Decider.round set the time once, a first round took over 0.25 s while the JVM was cold, so what came during it looked as if from ahead. Now those are asked to close only, and only past a second without a ticket carried out; who sends on 2 s after that errs. A dispatcher that keeps to the protocol loses nothing.

Also: a wake-up uses gauges read within 20 ms, the advice is printed once, unsound connections still answer what is open, the log tells how long a broken index connection was idle; the deciding thread ends before its sockets.

--- a/examples/Toy.java
+++ b/examples/Toy.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
@@ -19,28 +20,34 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Toy stand-ins for all that a node talks to, on the loopback addresses of config.json, and a dispatcher that
- * sends one ticket for each line on standard input: TRACK BODY. Tickets of the track unlock with the same
- * body are tries of one.
+ * Toy stand-ins for all that a node talks to, on the loopback addresses of config.json and on those of
+ * moved.json, and a dispatcher that sends one ticket for each line on standard input: TRACK BODY. Tickets of the
+ * track unlock with the same body are tries of one.
  */
 final class Toy {
     private static final int EXECUTOR = 4400;
     private static final int INDEX = 8900;
     private static final int NAMING = 8500;
     private static final int NODE = 5050;
+    private static final int MOVED = 10;
     private static final long WORK_MS = 150;
     private static final long CALL_MS = 50;
 
+    private final long started = System.currentTimeMillis();
     private final ScheduledExecutorService later = Executors.newScheduledThreadPool(1, Toy::daemon);
     private final Map<String, String> tracks = new ConcurrentHashMap<>();
     private final Map<String, byte[]> bodies = new ConcurrentHashMap<>();
-    private int notices;
+    private final List<byte[]> notices = new ArrayList<>();
+    /** Where notices go; a new link replaces the one before. */
+    private OutputStream link;
 
     public static void main(String[] args) throws Exception {
         Toy toy = new Toy();
-        toy.stand(EXECUTOR, toy::execute);
-        toy.stand(INDEX, toy::index);
-        toy.stand(NAMING, toy::naming);
+        for (int more = 0; more <= MOVED; more += MOVED) {
+            toy.stand(EXECUTOR + more, toy::execute);
+            toy.stand(INDEX + more, toy::index);
+            toy.stand(NAMING + more, toy::naming);
+        }
         toy.dispatch();
     }
 
@@ -81,37 +88,55 @@
         for (String line = line(in); line != null; line = line(in)) {
             String[] words = line.split(" ");
             switch (words[0]) {
-                case "JOIN" -> say(out, "WELCOME WARM 1000\r\n");
+                case "JOIN" -> join(out, Integer.parseInt(words[1]));
                 case "METER" -> say(out, "METERS " + words[1] + " 0.5 " + tracks.size() + " 0.1 1\r\n");
                 case "DIAG" -> say(out, "DIAGNOSED " + words[1] + " OK\r\n");
                 case "EXEC" -> {
                     bodies.put(words[1], body(in, words[3]));
                     tracks.put(words[1], words[2]);
                     System.out.println("executor: runs " + words[1] + " of " + words[2]);
-                    after(WORK_MS, () -> workDone(out, words[1]));
+                    after(WORK_MS, () -> workDone(words[1]));
                 }
                 case "RETURN" -> {
                     bodies.put(words[1], body(in, words[2]));
-                    after(WORK_MS, () -> end(out, words[1]));
+                    after(WORK_MS, () -> end(words[1]));
                 }
                 default -> throw new IOException("the executor knows no " + words[0]);
             }
         }
     }
 
-    private void workDone(OutputStream out, String id) throws IOException {
+    private synchronized void join(OutputStream out, int last) throws IOException {
+        System.out.println("executor: a link that has read " + last + " of " + notices.size() + " notices");
+        link = out;
+        say(out, "WELCOME WARM " + (System.currentTimeMillis() - started) + "\r\n");
+        for (byte[] notice : notices.subList(last, notices.size())) {
+            say(out, "", notice);
+        }
+    }
+
+    private synchronized void notice(String kind, String rest, byte[] body) throws IOException {
+        byte[] head = (kind + " " + (notices.size() + 1) + " " + rest + " " + body.length + "\r\n")
+                .getBytes(StandardCharsets.UTF_8);
+        byte[] whole = Arrays.copyOf(head, head.length + body.length);
+        System.arraycopy(body, 0, whole, head.length, body.length);
+        notices.add(whole);
+        say(link, "", whole);
+    }
+
+    private void workDone(String id) throws IOException {
         if ("history".equals(tracks.get(id))) {
-            end(out, id);
+            end(id);
         } else {
             byte[] question = bodies.get(id);
-            say(out, "CALLOUT " + ++notices + " " + id + " " + question.length + "\r\n", question);
+            notice("CALLOUT", id, question);
         }
     }
 
-    private void end(OutputStream out, String id) throws IOException {
+    private void end(String id) throws IOException {
         tracks.remove(id);
         byte[] result = ("done: " + text(bodies.remove(id))).getBytes(StandardCharsets.UTF_8);
-        say(out, "EXIT " + ++notices + " " + id + " OK " + WORK_MS + " " + result.length + "\r\n", result);
+        notice("EXIT", id + " OK " + WORK_MS, result);
     }
 
     // ---- the index: hears a question, answers it after a while ----
--- a/src/main/java/lupinwood/core/Connections.java
+++ b/src/main/java/lupinwood/core/Connections.java
@@ -12,8 +12,8 @@
 
 /**
  * The dispatchers' connections: what is open on each, which were idle for too long, and which are no dispatcher's.
- * A connection has a standing once the executor carried out a ticket of it. Until then it may err or be turned away
- * a few times only: whoever can't do better is refused at the door and not for each message.
+ * A connection has a standing once the executor carried out a ticket of it. Without one it goes for its first
+ * unsound ticket, and is asked to close where one after the other is turned away; who sends on all the same errs.
  */
 final class Connections {
     /** The protocol's bound on open tickets of one connection. */
@@ -24,8 +24,13 @@
     private static final Span TIME_TO_SPEAK = Span.ofSeconds(1.5);
     /** What was written last to a connection that is to be closed has this long to go out. */
     private static final Span TIME_TO_READ = Span.ofSeconds(0.5);
-    /** So many, and it is asked to close; twice as many, and it is closed. */
-    private static final int MOST_STRIKES = 8;
+    /** So many unsound tickets in a row are forgiven to one with a standing. */
+    private static final int MOST_STRIKES = 16;
+    /** One without a standing for so long, and turned away as often, is asked to close. */
+    private static final Span NEW = Span.ofSeconds(1);
+    private static final int MOST_UNWANTED = 32;
+    /** A ticket may cross the wish to close for as long, by a pause of either machine. */
+    private static final Span CROSSING = Span.ofSeconds(2);
 
     private static final class Connection {
         ConnectionId id;
@@ -35,8 +40,12 @@
         boolean spoke;
         boolean standing;
         int strikes;
-        boolean finished;
+        int unwanted;
+        Moment openedAt;
+        /** When it was asked to close, or null. */
+        Moment finishedAt;
         boolean closing;
+        Ending why;
     }
 
     private final Slots<Connection> table;
@@ -71,6 +80,7 @@
         }
         Connection connection = new Connection();
         connection.id = new ConnectionId(table.put(connection));
+        connection.openedAt = clock.get();
         rest(connection);
         return connection.id;
     }
@@ -129,6 +139,12 @@
         return connection == null || connection.closing;
     }
 
+    /** It was asked to close long ago, and still sends. */
+    boolean isStubborn(ConnectionId id) {
+        Moment asked = table.get(id.number()).finishedAt;
+        return asked != null && asked.plus(CROSSING).isBefore(clock.get());
+    }
+
     TicketId open(ConnectionId id, long tag) {
         Connection connection = table.get(id.number());
         return connection == null ? null : connection.open.get(tag);
@@ -149,7 +165,7 @@
             open--;
             if (connection.open.isEmpty()) {
                 if (connection.closing) {
-                    close(connection, Ending.CLOSED_BY_PEER);
+                    close(connection);
                 } else {
                     rest(connection);
                 }
@@ -166,29 +182,21 @@
         }
     }
 
-    /** What came on it was unsound. Whoever has no standing goes at once, after the answer. */
+    /** What came on it was unsound. Whoever has no standing goes for it, once all that is open is answered. */
     void fault(ConnectionId id) {
-        strike(id, 1, 2 * MOST_STRIKES);
+        Connection connection = table.get(id.number());
+        if (connection != null && !connection.closing
+                && (!connection.standing || ++connection.strikes >= MOST_STRIKES)) {
+            end(connection, Ending.UNSOUND);
+        }
     }
 
     /** A ticket of it was turned away or withdrawn, which alone is nothing bad. */
     void unwanted(ConnectionId id) {
-        strike(id, 0, 1);
-    }
-
-    private void strike(ConnectionId id, int withStanding, int without) {
         Connection connection = table.get(id.number());
-        if (connection != null && !connection.closing) {
-            connection.strikes += connection.standing ? withStanding : without;
-            if (connection.strikes >= 2 * MOST_STRIKES) {
-                connection.closing = true;
-                // What is open on one that may be a dispatcher's still gets its answers.
-                if (connection.open.isEmpty() || !connection.standing && without > 1) {
-                    close(connection, Ending.UNSOUND);
-                }
-            } else if (connection.strikes >= MOST_STRIKES) {
-                finish(connection);
-            }
+        if (connection != null && !connection.standing && ++connection.unwanted >= MOST_UNWANTED
+                && connection.openedAt.plus(NEW).isBefore(clock.get())) {
+            finish(connection);
         }
     }
 
@@ -196,10 +204,7 @@
     void leftOff(ConnectionId id) {
         Connection connection = table.get(id.number());
         if (connection != null) {
-            connection.closing = true;
-            if (connection.open.isEmpty()) {
-                dispatchers.close(id, Ending.SAID_NOTHING);
-            }
+            end(connection, Ending.SAID_NOTHING);
         }
     }
 
@@ -207,16 +212,23 @@
     void halfClosed(ConnectionId id) {
         Connection connection = table.get(id.number());
         if (connection != null) {
-            connection.closing = true;
-            if (connection.open.isEmpty()) {
-                close(connection, Ending.CLOSED_BY_PEER);
-            }
+            end(connection, Ending.CLOSED_BY_PEER);
+        }
+    }
+
+    /** Nothing more is read from it, and it is closed once what is open is answered. */
+    private void end(Connection connection, Ending why) {
+        connection.closing = true;
+        connection.why = why;
+        dispatchers.readNoMore(connection.id);
+        if (connection.open.isEmpty()) {
+            close(connection);
         }
     }
 
     /** Its last answers go out first; who doesn't take them is cut off. */
-    private void close(Connection connection, Ending why) {
-        dispatchers.close(connection.id, why);
+    private void close(Connection connection) {
+        dispatchers.close(connection.id, connection.why);
         deadlines.callOff(connection.idle);
         connection.idle = deadlines.at(clock.get().plus(TIME_TO_READ),
                 () -> dispatchers.close(connection.id, Ending.SLOW_READER));
@@ -245,7 +257,7 @@
             connection.idle = !connection.spoke
                     ? deadlines.at(since.plus(TIME_TO_SPEAK),
                             () -> dispatchers.close(connection.id, Ending.SAID_NOTHING))
-                    : connection.finished
+                    : connection.finishedAt != null
                     ? deadlines.at(since.plus(TIME_TO_CLOSE),
                             () -> dispatchers.close(connection.id, Ending.CLOSED_HERE))
                     : deadlines.at(since.plus(longestIdle), () -> finish(connection));
@@ -254,8 +266,8 @@
 
     /** Closing at once could cross a ticket that is on its way; so the dispatcher is asked to close. */
     private void finish(Connection connection) {
-        if (!connection.finished) {
-            connection.finished = true;
+        if (connection.finishedAt == null) {
+            connection.finishedAt = clock.get();
             dispatchers.sayNoMore(connection.id);
             rest(connection);
         }
--- a/src/main/java/lupinwood/core/Dispatchers.java
+++ b/src/main/java/lupinwood/core/Dispatchers.java
@@ -7,5 +7,8 @@
     /** Ask that no new ticket be sent on this connection. */
     void sayNoMore(ConnectionId connection);
 
+    /** Pass over what else comes on this connection. */
+    void readNoMore(ConnectionId connection);
+
     void close(ConnectionId connection, Ending why);
 }
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -155,7 +155,8 @@
         Receipts.Receipt receipt =
                 arrival == null ? null : receipts.find(arrival.receipt(), arrival.reached());
         boolean idInUse = arrival != null && byTry.containsKey(arrival.tryId());
-        String fault = admission.fault(arrival, receipt, idInUse, now);
+        String fault = connections.isStubborn(connection) ? "on a connection asked to close"
+                : admission.fault(arrival, receipt, idInUse, now);
         if (fault != null) {
             ports.log().accept("abandoned a ticket " + fault);
             ports.dispatchers().answer(connection, tag, Answer.plain(Answer.Word.ABANDONED, advice));
--- a/src/main/java/lupinwood/core/WakeUps.java
+++ b/src/main/java/lupinwood/core/WakeUps.java
@@ -7,10 +7,12 @@
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
 
-/** The node's wake-ups, each with gauges read anew where the executor gives them in time. */
+/** The node's wake-ups, each with gauges just read, or read anew where the executor gives them in time. */
 final class WakeUps {
     /** A wake-up waits so long for gauges before it does without. */
     private static final Span GAUGES_WAIT = Span.ofSeconds(0.02);
+    /** Gauges count as just read for as long: each reading costs two messages and two rounds of deciding. */
+    private static final Span FRESH = Span.ofSeconds(0.02);
 
     private final List<String> names;
     private final Deadlines deadlines;
@@ -23,6 +25,7 @@
     private Deadlines.Deadline next;
     private Deadlines.Deadline anyway;
     private Gauges gauges = Gauges.UNKNOWN;
+    private Moment readAt = new Moment(0);
 
     WakeUps(List<String> names, Deadlines deadlines, Executor executor, Tags tags, Supplier<Moment> clock,
             Consumer<Gauges> wake) {
@@ -41,7 +44,9 @@
     }
 
     private void due() {
-        if (asked == 0) {
+        if (clock.get().since(readAt).compareTo(FRESH) < 0) {
+            wake.accept(gauges);
+        } else if (asked == 0) {
             asked = tags.next();
             // Guards against a link that is lost or slow: the node's alarms must not wait for it.
             anyway = deadlines.at(clock.get().plus(GAUGES_WAIT), () -> ring(new Gauges(
@@ -52,6 +57,7 @@
 
     void read(long tag, double[] values) {
         gauges = Gauges.named(names, values);
+        readAt = clock.get();
         if (tag == asked) {
             ring(gauges);
         }
--- a/src/main/java/lupinwood/net/Decider.java
+++ b/src/main/java/lupinwood/net/Decider.java
@@ -21,6 +21,7 @@
     /** Where socket threads wait when deciding falls behind, which in turn lets the senders wait. */
     private static final int MOST_NEWS = 1024;
     private static final int MOST_AT_ONCE = 256;
+    private static final long LONGEST_STOP = 50;
     private static final long LONGEST_WAIT = TimeUnit.SECONDS.toNanos(1);
 
     private final BlockingQueue<Runnable> inbox = new ArrayBlockingQueue<>(MOST_NEWS);
@@ -59,8 +60,10 @@
         thread.start();
     }
 
-    void stop() {
+    /** Returns once it decides no more, or soon. */
+    void stop() throws InterruptedException {
         tell(() -> stopped = true);
+        thread.join(LONGEST_STOP);
     }
 
     void tell(Runnable news) {
@@ -101,9 +104,11 @@
     }
 
     private void round(Runnable first) {
-        host.advance(clock());
         int told = 0;
+        host.advance(clock());
         for (Runnable news = first; news != null; news = ++told < MOST_AT_ONCE ? next() : null) {
+            // Guards against a long round: what came during it must not look as if from the future.
+            host.advance(clock());
             guarded(news);
         }
         guarded(() -> deadlines.ring(host.now()));
--- a/src/main/java/lupinwood/net/DispatcherListener.java
+++ b/src/main/java/lupinwood/net/DispatcherListener.java
@@ -45,6 +45,9 @@
     private final Map<ConnectionId, Caller> callers = new HashMap<>();
     private final Set<Caller> toFlush = new LinkedHashSet<>();
     private Host host;
+    /** The advice said last, and how; it seldom changes. */
+    private double said = -1;
+    private String signal;
 
     DispatcherListener(Decider decider, Deadlines deadlines, Log log) {
         this.decider = decider;
@@ -67,8 +70,12 @@
     public void answer(ConnectionId connection, long tag, Answer answer) {
         StringJoiner fields = new StringJoiner(",");
         if (answer.advice() >= 0 && answer.advice() < Double.MAX_VALUE) {
-            fields.add("signal=" + BigDecimal.valueOf(answer.advice()).setScale(4, RoundingMode.HALF_UP)
-                    .stripTrailingZeros().toPlainString());
+            if (answer.advice() != said) {
+                said = answer.advice();
+                signal = "signal=" + BigDecimal.valueOf(said).setScale(4, RoundingMode.HALF_UP)
+                        .stripTrailingZeros().toPlainString();
+            }
+            fields.add(signal);
         }
         if (answer.comeBackAfter().isPositive()) {
             fields.add("holdoff=" + (answer.comeBackAfter().nanos() + 999_999) / 1_000_000);
@@ -91,6 +98,15 @@
         send(connection, "0", "FIN", null, NOTHING);
     }
 
+    @Override
+    public void readNoMore(ConnectionId connection) {
+        Caller caller = callers.get(connection);
+        if (caller != null) {
+            caller.over = true;
+            caller.outbox.readNoMore();
+        }
+    }
+
     @Override
     public void close(ConnectionId connection, Ending why) {
         Caller caller = callers.get(connection);
@@ -98,8 +114,7 @@
             if (why != Ending.CLOSED_BY_PEER) {
                 log.line("closing a dispatcher's connection: " + why);
             }
-            if (why == Ending.CLOSED_BY_PEER || why == Ending.UNSOUND) {
-                caller.over = true;
+            if (why == Ending.CLOSED_BY_PEER || why == Ending.UNSOUND || why == Ending.SAID_NOTHING) {
                 caller.outbox.closeOnFlush();
             } else {
                 caller.outbox.closeNow();
--- a/src/main/java/lupinwood/net/IndexLink.java
+++ b/src/main/java/lupinwood/net/IndexLink.java
@@ -13,6 +13,7 @@
 import lupinwood.core.Host;
 import lupinwood.core.Index;
 import lupinwood.core.TryId;
+import lupinwood.node.Moment;
 import lupinwood.node.Span;
 
 /**
@@ -107,6 +108,9 @@
         /** The call that is out, or null. */
         private Call call;
         private Deadlines.Deadline tooOld;
+        private Moment idleSince;
+        /** How long it was idle before the call that is out; null if it is its first. */
+        private Span idleFor;
         /** It takes no new call. */
         private boolean closing;
 
@@ -117,6 +121,7 @@
         void begin(Call begun) {
             idle.remove(this);
             means.deadlines().callOff(tooOld);
+            idleFor = idleSince == null ? null : host.now().since(idleSince);
             call = begun;
             carried.add(call.id());
             if (outbox() != null) {
@@ -175,6 +180,7 @@
                 close();
             } else {
                 idle.addFirst(this);
+                idleSince = host.now();
                 tooOld = means.deadlines().at(host.now().plus(JUST_USED), this::close);
             }
             host.callEnded(id, ending, body);
@@ -188,13 +194,12 @@
 
         @Override
         void ended(Ending ending) {
-            boolean reused = carried.size() > 1;
             TryId id = call == null ? null : call.id();
             close();
             if (id != null) {
                 release();
                 means.log().line("a connection to the index ended with a call out: " + ending
-                        + (reused ? ", used before" : ", fresh"));
+                        + (idleFor == null ? ", fresh" : ", idle before for ms: " + idleFor.nanos() / 1_000_000));
                 host.callEnded(id, ending, null);
                 IndexLink.this.next();
             }
--- a/src/main/java/lupinwood/net/Outbox.java
+++ b/src/main/java/lupinwood/net/Outbox.java
@@ -35,6 +35,10 @@
         return gathered.size() + session.getScheduledWriteBytes();
     }
 
+    void readNoMore() {
+        session.suspendRead();
+    }
+
     void closeNow() {
         session.closeNow();
     }
--- a/src/test/java/lupinwood/net/ServingTest.java
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -436,9 +436,12 @@
                 assertThat(caller.answer()).isEqualTo(tag + " FAIL +");
                 executor.say(String.format("EXIT %d %016x STOPPED 9 0\r\n\r\n", 2 + i, tag));
             }
+            if (i == 2) {
+                good.say(String.format("%016x HIT 2\r\nok\r\n", 101));
+                expectReply(101, "ok");
+                assertThat(good.isOver()).as("idle").isTrue();
+            }
         }
-        good.say(String.format("%016x HIT 2\r\nok\r\n", 101));
-        expectReply(101, "ok");
     }
 
     @Test
