Give up a call that enough made later have overtaken; a pure ticket calls anew

Now a call past TARGET with six more made later come back fails its ticket at once, or a pure one's is made anew. Holds against any call that goes missing while others come back; in a stall of all nothing overtakes, so nothing is given up. Could hurt where call times differ by more than half the agreed time.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -11,22 +11,14 @@
  * (what happens to a ticket), settle (what is turned away, run and called), then the guards and the advice.
  */
 public final class Brain implements Node {
-    /** How many figures a histogram takes in before it is halved. */
-    private static final double MEMORY_OF = 32;
-    /** No median is trusted before this many figures. */
-    private static final double ENOUGH = 6;
-    /** The part of a hard ceiling (memory, crowd) that is used. */
-    private static final double SAFE = 0.85;
-    /** The part of its time to the agreed time that a new arrival may be reckoned to need. */
-    private static final double ROOMY = 0.85;
-    /** The part of their agreed time that tickets may wait before callers are asked to send less. */
-    private static final double EASY = 0.15;
-    /** Before anything was measured, a ticket is held to cost this part of its agreed time. */
-    private static final double FIRST_GUESS = 0.1;
-    /** The seconds over which a customer's share is saved up and reckoned, more where few tickets come. */
-    private static final double SAVED_UP = 6;
-    /** The part of the told share of calls that is used whatever calls take. */
-    private static final double LEAST_CALLS = 0.2;
+    private static final double MEMORY_OF = 32; // figures a histogram takes in before it is halved
+    private static final double ENOUGH = 6; // figures without which no median is trusted
+    private static final double SAFE = 0.85; // the part of a hard ceiling (memory, crowd) that is used
+    private static final double ROOMY = 0.85; // the part of its time that an arrival may be reckoned to need
+    private static final double EASY = 0.15; // the part of it that tickets may wait before callers hear of it
+    private static final double FIRST_GUESS = 0.1; // the part of it that a ticket costs, before any measure
+    private static final double SAVED_UP = 6; // seconds over which a customer's share is reckoned, or more
+    private static final double LEAST_CALLS = 0.2; // the part of the told share used whatever calls take
 
     private enum State { HELD, RUNNING, WAITS_TO_CALL, CALLING, REUSING, OVER }
 
@@ -118,8 +110,7 @@
     private final Moment born;
     private final Span step;
     private final double meanAgreed;
-    /** The told share of calls in hand; without a shared dependency only the limit binds. */
-    private final double toldShare;
+    private final double toldShare; // of calls in hand; without a shared dependency only the limit binds
     private double callsAllowed;
     private Moment nextCall;
     private double usualCall;
@@ -127,17 +118,16 @@
     private final Alarms alarms;
     private long order;
 
-    /** Held and not run, the soonest agreed time first. */
-    private final TreeSet<Held> hold = new TreeSet<>(Held.BY_TIME);
+    private final TreeSet<Held> hold = new TreeSet<>(Held.BY_TIME); // held and not run
     private final TreeSet<Held> waitsToCall = new TreeSet<>(Held.BY_TIME);
     private double askedCredit;
     private int judged;
     private TrackBook worst;
     private final Map<TicketId, Held> remembered = new HashMap<>();
-    /** All that is owed an answer or still takes memory, by arrival. */
-    private final TreeMap<Long, Held> open = new TreeMap<>();
+    private final TreeMap<Long, Held> open = new TreeMap<>(); // all that is owed an answer or takes memory
     private int onCores;
     private int callsInHand;
+    private int callsBack;
     private int count;
     private double usedKb;
 
@@ -145,21 +135,17 @@
     private Moment leftAt;
     private Moment stopsAt;
 
-    /** Seconds of core time given to each running ticket since the start: the clock of all cost. */
-    private double given;
+    private double given; // seconds of core time given to each running ticket so far: the clock of all cost
     private Moment givenAt;
-    /** How many of those that run really want a core (the rest wait for a disk). */
-    private double wanting = 1;
+    private double wanting = 1; // the part of those that run that wants a core and no disk
     /** The latest calls, fast to follow a change; unlike the calm median it takes in every one. */
     private final Histogram latestCalls = new Histogram(MEMORY_OF / 4);
     /** What was hinted, and what it cost; their means make the price of a hint here. */
     private final Histogram hints = new Histogram(MEMORY_OF);
     private final Histogram hintedCost = new Histogram(MEMORY_OF);
     private double advised = -1;
-    /** How far through their time to the agreed time the latest tickets were when they were read. */
-    private double unread;
-    /** The rank below which callers are asked to send nothing; the best-paid band is always let in. */
-    private double floor;
+    private double unread; // how far through their agreed time the latest tickets were when read
+    private double floor; // the rank below which callers are to send nothing, but for the best-paid band
     private final double mostFloor;
     private final Deque<CallerId> callers = new ArrayDeque<>();
     private double connections;
@@ -293,6 +279,7 @@
         double got;
         int calls;
         Moment calledAt;
+        int backBefore; // calls that may come back without having been made later than this one's
         int triesOfCall;
         boolean calmCall;
         CustomerBook customer;
@@ -504,20 +491,36 @@
             calmCall = count * 2 < limit;
             callsInHand++;
             calledAt = server.now();
+            backBefore = callsBack + callsInHand;
             Span cap = callCap();
             server.call(ticket.id(), cap);
             Moment thisCall = calledAt;
             Span target = target(track);
             if (target != null && target.compareTo(cap) < 0) {
-                alarms.in(target, () -> {
-                    if (state == State.CALLING && calledAt == thisCall) {
-                        cut();
-                    }
-                });
+                alarms.in(target, () -> watchCall(thisCall, target));
             }
             cut = false;
         }
 
+        /**
+         * Exception: a call past TARGET that enough calls made later have overtaken is lost, not slow. It'd
+         * hold its place to the end; so the ticket fails at once, or calls anew where that does no harm.
+         */
+        private void watchCall(Moment thisCall, Span target) {
+            if (state != State.CALLING || calledAt != thisCall) {
+                return;
+            }
+            cut();
+            if (callsBack - backBefore < ENOUGH || track.says.skipWorth() > 0) {
+                alarms.in(target, () -> watchCall(thisCall, target));
+            } else if (track.says.effect() != Effect.PURE || ++triesOfCall >= 3) {
+                fail();
+            } else {
+                callGivenUp();
+                makeCall();
+            }
+        }
+
         /** The limit comes down once a call: past TARGET while it is out, or when it ends as a drop. */
         void cut() {
             if (!cut && target(track) != null) {
@@ -535,6 +538,7 @@
             latestCalls.add(took.seconds());
             boolean crowded = crowdedBelow(took, track.calmCalls);
             if (outcome == Outcome.OK) {
+                callsBack++;
                 callOutOfHand();
                 Span target = target(track);
                 if (target == null || took.compareTo(target) <= 0) {
@@ -606,10 +610,8 @@
         }
 
         /**
-         * Rule 4: less than one call is kept by a pause after each, by its own length for the share, by what
-         * calls took lately for what is allowed of it: one caught in a jam says little of the next. With no
-         * call longer than half of what the share lets through in the time averaged over, all nodes together
-         * stay under what is survived, also when all calls turn slow at once.
+         * Rule 4: less than one call is kept by a pause after each: by its own length for the share, by what
+         * calls took lately for what is allowed of it. With the cap of a call all nodes stay under the sum.
          */
         private void callOutOfHand() {
             callsInHand--;
@@ -722,8 +724,8 @@
     }
 
     /**
-     * The told share is what a shared dependency survives; it slows down long before. So the calls in hand
-     * that are allowed shrink, to a fifth, by as much as a call takes longer than three calm medians.
+     * A shared dependency slows down long before its told share. So the calls in hand allowed shrink,
+     * to a fifth, by as much as a call takes longer than three calm medians.
      */
     private boolean crowdedBelow(Span took, Histogram calm) {
         double least = toldShare * LEAST_CALLS;
@@ -801,10 +803,9 @@
     }
 
     /**
-     * Open connections take from the cores and a full table lets nobody in; its cap is not told. With more
-     * open than some times what the cores can finish in the agreed time, idle ones are closed sooner: eight
-     * times where few callers come, nearly none where none comes back. A node behind in its reading lets them
-     * stand: new ones would cost it a handshake each, and a full table refuses for nothing.
+     * Open connections take from the cores and a full table lets nobody in. With more than some times what
+     * the cores finish in the agreed time (eight, or nearly none where no caller comes back), idle ones are
+     * closed sooner. A node behind in its reading lets them stand: a full table refuses for nothing.
      */
     private void trimIdle(boolean crowded) {
         Span longest = settings.span("domain.keepalive_max_ns");
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -511,7 +511,8 @@
     @Override
     public void call(TicketId ticket, Span cap) {
         Taken taken = tickets.get(ticket.number());
-        if (taken != null && taken.callBody != null && taken.calledAt == null) {
+        if (taken != null && taken.callBody != null) {
+            dropCall(taken); // a second call gives up the first
             TryId id = taken.arrival.tryId();
             taken.calledAt = now;
             taken.callCap = deadlines.at(now.plus(cap), () -> {
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -164,6 +164,30 @@
                 """);
     }
 
+    @Test
+    void aCallThatEnoughMadeLaterHaveOvertakenIsLostAndAPureOneIsMadeAnew() {
+        machine.set("domain.calls_out=9 domain.cpus=8").start();
+        for (int i = 0; i < 8; i++) {
+            long receipted = machine.arrive(Machine.RECEIPTED);
+            machine.call(receipted, 100, Outcome.OK);
+            machine.end(receipted);
+        }
+        machine.calm(100);
+        for (int track : new int[] {Machine.PURE, Machine.RECEIPTED}) {
+            machine.tell(machine.arrive(track), Handle::needsCall);
+        }
+        machine.calm(50);
+        machine.pass(1200);
+        machine.tell(17, handle -> handle.callEnded(Outcome.OK, Span.ofSeconds(0.5)));
+        machine.end(17);
+        assertThat(machine.printed()).isEqualTo("""
+                2600 log limit cut to 18.0
+                2600 call 17
+                2600 log limit cut to 16.2
+                2600 fail 18
+                """);
+    }
+
     @Test
     void targetIsThreeCalmMediansWhereThatIsMore() {
         patient().start();
--- a/src/test/java/lupinwood/net/ServingTest.java
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -10,8 +10,11 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import lupinwood.Brain;
+import lupinwood.core.*;
 import lupinwood.log.Log;
+import lupinwood.node.*;
 import org.junit.jupiter.api.*;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -524,6 +527,39 @@
                 .containsEntry("customers.0.quota_rps", "54.0").containsEntry("step_ns", "4000000");
     }
 
+    @Test
+    void theTimeGoesOnWithinARoundAndRoundsAreAMillisecondApart() throws Exception {
+        Deadlines deadlines = new Deadlines();
+        Decider decider = new Decider(deadlines, log);
+        Host host = new Host(config().settings(), 1, Brain::new, new Host.Ports(null, null, null, log::line),
+                deadlines, new Host.Bounds(1, 1, 1), Decider.clock());
+        CompletableFuture<Span> behind = new CompletableFuture<>();
+        Moment begun = Decider.clock();
+        decider.tell(() -> {
+            while (Decider.clock().since(begun).seconds() < 0.5) {
+                // a long piece of news
+            }
+        });
+        decider.tell(() -> behind.complete(Decider.clock().since(host.now())));
+        decider.start(host);
+        assertThat(behind.get()).isLessThan(Span.ofSeconds(0.4));
+        long first = System.nanoTime();
+        for (int i = 0; i < 30; i++) {
+            CompletableFuture<Void> heard = new CompletableFuture<>();
+            decider.tell(() -> heard.complete(null));
+            heard.get();
+        }
+        assertThat(System.nanoTime() - first).isGreaterThan(28_000_000L);
+        decider.stop();
+    }
+
+    @Test
+    void madeUpTicketsAreAnsweredBeforeTheDoorOpens() throws Exception {
+        assertThat(WarmUp.play(config().settings(), 1, Brain::new)).isPositive();
+        log.drain();
+        assertThat(logged.toString()).containsPattern("warmed up by [1-9].*\n.*n1 listens");
+    }
+
     @Test
     void aFloodOfOneKindOfLineHidesNoOther() {
         Log calm = new Log(new PrintStream(logged, true), () -> Instant.ofEpochSecond(7));
