--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -511,7 +511,7 @@
                 return;
             }
             cut();
-            if (callsBack - backBefore < ENOUGH || track.says.skipWorth() > 0) {
+            if (callsBack - backBefore < MEMORY_OF / 2 || track.says.skipWorth() > 0) {
                 alarms.in(target, () -> watchCall(thisCall, target));
             } else if (track.says.effect() != Effect.PURE || ++triesOfCall >= 3) {
                 fail();
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -177,14 +177,19 @@
             machine.tell(machine.arrive(track), Handle::needsCall);
         }
         machine.calm(50);
+        machine.pass(700);
+        assertThat(machine.printed()).as("too few").isEqualTo("""
+                2600 log limit cut to 18.0
+                2600 log limit cut to 16.2
+                """);
+        machine.calm(30);
+        machine.calm(30);
         machine.pass(1200);
         machine.tell(17, handle -> handle.callEnded(Outcome.OK, Span.ofSeconds(0.5)));
         machine.end(17);
         assertThat(machine.printed()).isEqualTo("""
-                2600 log limit cut to 18.0
-                2600 call 17
-                2600 log limit cut to 16.2
-                2600 fail 18
+                3600 call 17
+                3600 fail 18
                 """);
     }
 
