Keep the door open while leaving, and tell who still comes when to come back

A refused connection tells no time to come back. Could hurt: a node stays 1 s longer, and reads tickets that it then bounces.

--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -62,6 +62,7 @@
     private Node node;
     private double advice = -1;
     private boolean leaving;
+    private Moment lastTicket;
     /** The tag whose gauges, when they come, prove that all commands before were read; by link. */
     private long replayTag;
     /** When gauges are asked for to settle doubts, or null. */
@@ -75,6 +76,7 @@
         this.ports = ports;
         this.deadlines = deadlines;
         this.now = now;
+        lastTicket = now;
         // Dispatchers close idle connections by then; what is left was forgotten.
         Settings read = new Settings(settings);
         Span longestIdle = read.span("domain.keepalive_max_ns");
@@ -138,6 +140,7 @@
         if (connections.isClosing(connection)) {
             return true;
         }
+        lastTicket = now;
         if (connections.open(connection, tag) != null) {
             return false;
         }
@@ -622,13 +625,22 @@
     public void leave(Span until) {
         if (!leaving) {
             leaving = true;
-            connections.leave();
+            lastTicket = now;
             if (node != null) {
                 node.leave(until);
             }
         }
     }
 
+    /** Asks for no more on every connection. */
+    public void closeConnections() {
+        connections.leave();
+    }
+
+    public Span sinceLastTicket() {
+        return now.since(lastTicket);
+    }
+
     /** Whether everything read has its answer. */
     public boolean isAnswered() {
         return connections.openTickets() == 0 && checks.isIdle();
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import lupinwood.core.Deadlines;
 import lupinwood.core.Host;
 import lupinwood.log.Log;
@@ -16,8 +17,10 @@
     /** Descriptors kept for the process itself and for its links, where there are enough. */
     private static final int OWN_DESCRIPTORS = 64;
     private static final Span LOOK_AGAIN = Span.ofSeconds(0.02);
-    /** A ticket may cross the notice by as much. */
-    private static final Span CROSSING = Span.ofSeconds(0.1);
+    /** Without a ticket for so long, dispatchers have learned that this node leaves. */
+    private static final Span QUIET = Span.ofSeconds(1);
+    /** At the end dispatchers have this long to close their connections, as they are asked to. */
+    private static final Span TIME_TO_CLOSE = Span.ofSeconds(0.2);
     /** Before the stop, the process is gone by itself. */
     private static final Span BEFORE_STOP = Span.ofSeconds(0.2);
     private static final Span FIGURES_EVERY = Span.ofSeconds(10);
@@ -33,6 +36,7 @@
     private final IndexLink index;
     private final NamingReporter naming;
     private final Host host;
+    private final CountDownLatch quiet = new CountDownLatch(1);
     private final CountDownLatch left = new CountDownLatch(1);
 
     public Serving(NodeConfig config, Host.Maker maker, Log log) {
@@ -88,30 +92,37 @@
         });
     }
 
-    /** The notice to leave: returns once everything read is answered, or just before the stop. */
+    /**
+     * The notice to leave: returns once everything read is answered, or just before the stop. The door stays open
+     * while dispatchers that have not learned of it still come: they hear when to come back, which a refused
+     * connection can't tell.
+     */
     public void leave() throws InterruptedException {
         log.line("told to leave");
         decider.tell(() -> {
-            Moment now = host.now();
             host.leave(config.stop());
             naming.leave();
-            look(now.plus(CROSSING), now.plus(config.stop().minus(BEFORE_STOP)));
+            Moment last = host.now().plus(config.stop().minus(BEFORE_STOP).minus(TIME_TO_CLOSE));
+            lookUntil(last, () -> host.isAnswered() && QUIET.compareTo(host.sinceLastTicket()) < 0, quiet);
         });
-        // Closed first and long before the end: what was accepted till now still has time for its answers.
+        quiet.await(config.stop().nanos(), TimeUnit.NANOSECONDS);
         sockets.stopListening();
+        decider.tell(() -> {
+            host.closeConnections();
+            lookUntil(host.now().plus(TIME_TO_CLOSE),
+                    () -> host.isAnswered() && host.connectionCount() == 0, left);
+        });
         left.await(config.stop().nanos(), TimeUnit.NANOSECONDS);
         decider.stop();
         sockets.dispose();
         log.line("left");
     }
 
-    /** Done once all is answered and the dispatchers have closed their connections, as they were asked to. */
-    private void look(Moment first, Moment last) {
-        boolean crossed = !host.now().isBefore(first);
-        if (crossed && host.isAnswered() && host.connectionCount() == 0 || !host.now().isBefore(last)) {
-            left.countDown();
+    private void lookUntil(Moment last, BooleanSupplier done, CountDownLatch told) {
+        if (done.getAsBoolean() || !host.now().isBefore(last)) {
+            told.countDown();
         } else {
-            deadlines.at(host.now().plus(LOOK_AGAIN), () -> look(first, last));
+            deadlines.at(host.now().plus(LOOK_AGAIN), () -> lookUntil(last, done, told));
         }
     }
 }
