--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -503,15 +503,15 @@
         }
 
         /**
-         * Exception: a call past TARGET that enough calls made later have overtaken is lost, not slow. It'd
-         * hold its place to the end; so the ticket fails at once, or calls anew where that does no harm.
+         * Exception: a call past TARGET that enough made later have overtaken is lost, not slow. It would
+         * keep its place to the end; so its ticket fails at once, or calls anew where that does no harm.
          */
         private void watchCall(Moment thisCall, Span target) {
             if (state != State.CALLING || calledAt != thisCall) {
                 return;
             }
             cut();
-            if (callsBack - backBefore < MEMORY_OF / 2 || track.says.skipWorth() > 0) {
+            if (answered || callsBack - backBefore < MEMORY_OF / 2 || track.says.skipWorth() > 0) {
                 alarms.in(target, () -> watchCall(thisCall, target));
             } else if (track.says.effect() != Effect.PURE || ++triesOfCall >= 3) {
                 fail();
--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -11,7 +11,9 @@
 import lupinwood.net.NodeConfig;
 import lupinwood.net.Serving;
 
-/** Runs one real node until SIGTERM, then leaves in good order; SIGHUP has it read its configuration again. */
+/**
+ * Runs one real node until SIGTERM, then leaves in good order; SIGHUP has it read its configuration again.
+ */
 @Parameters(commandDescription = "Serve as a node, on sockets, until SIGTERM; SIGHUP reads the configuration"
         + " again and moves to the addresses of executor, index and naming that it then has")
 final class Serve implements Command {
--- a/src/main/java/lupinwood/core/Admission.java
+++ b/src/main/java/lupinwood/core/Admission.java
@@ -14,8 +14,8 @@
 import lupinwood.node.TrackId;
 
 /**
- * What may come in as a ticket: readable, known, within the protocol's bounds and in time. All else is answered at
- * once and never told to the node, whose picture of customers, waiting and cost it would spoil.
+ * What may come in as a ticket: readable, known, within the protocol's bounds and in time. All else is
+ * answered at once and never told to the node, whose picture of customers, waiting and cost it would spoil.
  */
 final class Admission {
     /** The one fault that may lie with this side: a pause, or a crowd in front of the door. */
--- a/src/main/java/lupinwood/core/Connections.java
+++ b/src/main/java/lupinwood/core/Connections.java
@@ -11,9 +11,10 @@
 import lupinwood.node.TicketId;
 
 /**
- * The dispatchers' connections: what is open on each, which were idle for too long, and which are no dispatcher's.
- * A connection has a standing once the executor carried out a ticket of it. Without one it goes for its first
- * unsound ticket, and is asked to close where one after the other is turned away; who sends on all the same errs.
+ * The dispatchers' connections: what is open on each, which were idle for too long, and which are no
+ * dispatcher's. A connection has a standing once the executor carried out a ticket of it. Without one it goes
+ * for its first unsound ticket, and is asked to close where one after the other is turned away; who sends on
+ * all the same errs.
  */
 final class Connections {
     /** The protocol's bound on open tickets of one connection. */
@@ -85,7 +86,9 @@
         return connection.id;
     }
 
-    /** Guards against the silent and the forgotten: a full table must not shut out who has something to say. */
+    /**
+     * Guards against the silent and the forgotten: a full table must not shut out who has something to say.
+     */
     private boolean makeRoom() {
         List<Connection> unused = new ArrayList<>();
         table.forEach(connection -> {
@@ -182,7 +185,9 @@
         }
     }
 
-    /** What came on it was unsound. Whoever has no standing goes for it, once all that is open is answered. */
+    /**
+     * What came on it was unsound. Whoever has no standing goes for it, once all that is open is answered.
+     */
     void fault(ConnectionId id) {
         Connection connection = table.get(id.number());
         if (connection != null && !connection.closing
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -262,8 +262,9 @@
     }
 
     /**
-     * After a lost link: what was sent last may not have been read. What was never written is written now, and a
-     * pure ticket's run may be asked for twice, since a run that goes on ignores it. All else is in doubt.
+     * After a lost link: what was sent last may not have been read. What was never written is written now,
+     * and a pure ticket's run may be asked for twice, since a run that goes on ignores it. All else is in
+     * doubt.
      */
     private void sendAgain() {
         tickets.forEach(taken -> {
@@ -288,11 +289,11 @@
     }
 
     /**
-     * Commands in doubt must not simply be given again: a receipted run might have ended just now and run twice, and
-     * a run that has its reply would take the same for that to its next call. The gauge of tickets on the cores
-     * tells: it counts every run there (and what else uses them), and all notices up to it were read before. Where
-     * it counts no more than the runs that are there for certain, none of those in doubt is, so none of the commands
-     * was read. Until it does it is asked for again.
+     * Commands in doubt must not simply be given again: a receipted run might have ended just now and run
+     * twice, and a run that has its reply would take the same for that to its next call. The gauge of tickets
+     * on the cores tells: it counts every run there (and what else uses them), and all notices up to it were
+     * read before. Where it counts no more than the runs that are there for certain, none of those in doubt
+     * is, so none of the commands was read. Until it does it is asked for again.
      */
     private void settleDoubts(double onCores) {
         int[] certain = {0};
--- a/src/main/java/lupinwood/net/Decider.java
+++ b/src/main/java/lupinwood/net/Decider.java
@@ -22,7 +22,9 @@
     /** Where socket threads wait when deciding falls behind, which in turn lets the senders wait. */
     private static final int MOST_NEWS = 1024;
     private static final int MOST_AT_ONCE = 256;
-    /** Rounds begin no closer together: what comes at rest is dealt with at once, what follows waits as long. */
+    /**
+     * Rounds begin no closer together: what comes at rest is dealt with at once, what follows waits as long.
+     */
     private static final long PACE = TimeUnit.MILLISECONDS.toNanos(1);
     private static final long LONGEST_STOP = 50;
     private static final long LONGEST_WAIT = TimeUnit.SECONDS.toNanos(1);
--- a/src/main/java/lupinwood/net/ExecutorLink.java
+++ b/src/main/java/lupinwood/net/ExecutorLink.java
@@ -11,9 +11,9 @@
 import lupinwood.node.Span;
 
 /**
- * The link to the executor, kept open; a lost one is replaced, and the notices missed come once each. To move to
- * another address the new link is made first; the old one is asked for gauges, whose coming proves that all
- * before was read, and only then does the new one take its place.
+ * The link to the executor, kept open; a lost one is replaced, and the notices missed come once each. To move
+ * to another address the new link is made first; the old one is asked for gauges, whose coming proves that
+ * all before was read, and only then does the new one take its place.
  */
 final class ExecutorLink implements Executor {
     private static final Span TRY_AGAIN = Span.ofSeconds(0.05);
--- a/src/main/java/lupinwood/net/NamingReporter.java
+++ b/src/main/java/lupinwood/net/NamingReporter.java
@@ -15,7 +15,9 @@
     private static final Span EVERY = Span.ofSeconds(1);
     /** A report that isn't answered by then no longer keeps the node listed; its connection is given up. */
     private static final Span PATIENCE = Span.ofSeconds(3);
-    /** As many as can be out within the patience: a service that answers none must not silence the reports. */
+    /**
+     * As many as can be out within the patience: a service that answers none must not silence the reports.
+     */
     private static final int MOST_AT_ONCE = 4;
     private static final int NO_CONTENT = 204;
 
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -58,8 +58,13 @@
 
     /** Listens and serves until told to leave; an address in use is told by the exception. */
     public void start() throws IOException {
-        int answers = WarmUp.play(config.settings(), config.seed(), maker);
-        log.line("warmed up by " + answers + " made-up tickets");
+        try {
+            int answers = WarmUp.play(config.settings(), config.seed(), maker);
+            log.line("warmed up by " + answers + " made-up tickets");
+        } catch (RuntimeException e) {
+            // A node that is slow at first is better than none.
+            log.problem("no warm-up", e);
+        }
         sockets.listen(config.listen(), listener::newPeer);
         log.line(config.name() + " listens on " + config.listen());
         decider.tell(() -> {
@@ -93,9 +98,9 @@
     }
 
     /**
-     * The notice to leave: returns once everything read is answered, or just before the stop. The door stays open
-     * while dispatchers that have not learned of it still come: they hear when to come back, which a refused
-     * connection can't tell.
+     * The notice to leave: returns once everything read is answered, or just before the stop. The door stays
+     * open while dispatchers that have not learned of it still come: they hear when to come back, which a
+     * refused connection can't tell.
      */
     public void leave() throws InterruptedException {
         log.line("told to leave");
--- a/src/main/java/lupinwood/net/WarmUp.java
+++ b/src/main/java/lupinwood/net/WarmUp.java
@@ -21,8 +21,8 @@
 import lupinwood.node.Span;
 
 /**
- * Plays made-up tickets through a host of its own before the door opens, so that the JVM has loaded and compiled
- * most of what the first real ones need. Nothing of it leaves the process or is kept.
+ * Plays made-up tickets through a host of its own before the door opens, so that the JVM has loaded and
+ * compiled most of what the first real ones need. Nothing of it leaves the process or is kept.
  */
 final class WarmUp implements Dispatchers, Executor, Index {
     private static final int TICKETS = 1500;
