--- a/examples/Toy.java
+++ b/examples/Toy.java
@@ -189,6 +189,7 @@
             }
         });
         answers.start();
+        say(out, array("HEALTH", "1000000")); // who connects and says nothing for long is closed
         int tag = 0;
         for (String line = lines.readLine(); line != null; line = lines.readLine()) {
             int space = line.indexOf(' ');
