Reload when the file changes where SIGHUP can't be heard

When to read, and whether a reading counts, is decided by reload.Triggers without I/O: unfinished files are read again until still, both triggers for one change act once, a burst ends in the newest file. Could hurt: a file saved half-edited and valid is taken over by itself, only where SIGHUP can't be heard.

--- a/src/main/java/lupinwood/cli/Hangup.java
+++ b/src/main/java/lupinwood/cli/Hangup.java
@@ -9,8 +9,11 @@
 final class Hangup {
     private Hangup() {}
 
-    /** Runs the job, on a thread of its own, at each SIGHUP from now on. */
-    static void onEach(Runnable job) {
+    /**
+     * Runs the job, on a thread of its own, at each SIGHUP from now on. False where the process was started with
+     * SIGHUP ignored, as under nohup: the JVM then installs no handler, without a word, and none will be heard.
+     */
+    static boolean onEach(Runnable job) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -21,8 +24,9 @@
                         }
                         return null;
                     });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), heard);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("this JVM lets no program hear SIGHUP", e);
         }
--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -6,10 +6,13 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import lupinwood.Brain;
+import lupinwood.load.Loader;
+import lupinwood.load.Reloader;
 import lupinwood.log.LibraryLogs;
 import lupinwood.log.Log;
 import lupinwood.net.NodeConfig;
 import lupinwood.net.Serving;
+import lupinwood.reload.Look;
 
 /**
  * Runs one real node until SIGTERM, then leaves in good order; SIGHUP has it read its configuration again.
@@ -23,8 +26,15 @@
     @Parameter(names = "--config", description = "The node's configuration; else what RELAY_CONFIG names")
     private String file;
 
+    @Parameter(names = "--watch", description = "Reload when the configuration's files change: 'on', 'off', or"
+            + " 'auto', which is on where SIGHUP can't be heard")
+    private Watching watching = Watching.AUTO;
+
+    /** Whether changed files are reason enough to read them. */
+    enum Watching { AUTO, ON, OFF }
+
     /** Null before the node serves. */
-    private volatile Serving serving;
+    private volatile Reloader reloader;
 
     @Override
     public int run() {
@@ -33,16 +43,19 @@
             System.err.println("lupinwood: no configuration: give --config or set RELAY_CONFIG");
             return UNUSABLE;
         }
-        NodeConfig config;
+        Loader loader = new Loader(Path.of(path));
+        Look looked = loader.look();
+        Loader.Loaded loaded;
         try {
-            config = NodeConfig.read(Path.of(path));
+            loaded = loader.load();
         } catch (NodeConfig.Unusable e) {
             System.err.println("lupinwood: " + e.getMessage());
             return UNUSABLE;
         }
+        NodeConfig config = loaded.config();
         Log log = Log.start();
         LibraryLogs.sendTo(log);
-        Hangup.onEach(() -> reload(Path.of(path), log));
+        boolean heard = Hangup.onEach(this::reload);
         Serving node = new Serving(config, Brain::new, log);
         try {
             node.start();
@@ -52,7 +65,10 @@
             System.err.println("lupinwood: can't listen on " + config.listen() + ": " + cause.getMessage());
             return FAILED;
         }
-        serving = node;
+        boolean watches = watching == Watching.ON || watching == Watching.AUTO && !heard;
+        log.line(triggers(heard, watches));
+        reloader = new Reloader(loader, loaded, looked, watches, node, log);
+        reloader.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(node, log), "leave"));
         try {
             new CountDownLatch(1).await();
@@ -62,16 +78,19 @@
         return 0;
     }
 
-    /** Runs on SIGHUP. What can't be used changes nothing; one line of the log names it. */
-    private void reload(Path path, Log log) {
-        Serving node = serving;
-        try {
-            NodeConfig next = NodeConfig.read(path);
-            if (node != null) {
-                node.reload(next);
-            }
-        } catch (NodeConfig.Unusable e) {
-            log.line("nothing reloaded: " + e.getMessage());
+    /** What makes this node read its configuration again. */
+    private static String triggers(boolean heard, boolean watches) {
+        String signal = heard ? "reloads on SIGHUP"
+                : "can't hear SIGHUP, which was ignored when this process was started; reloads";
+        String files = watches ? (heard ? ", and" : "") + " when its configuration's files change" : "";
+        return signal + (heard || watches ? files : " on nothing");
+    }
+
+    /** Runs on SIGHUP. */
+    private void reload() {
+        Reloader one = reloader;
+        if (one != null) {
+            one.signal();
         }
     }
 
--- /dev/null
+++ b/src/main/java/lupinwood/load/Reloader.java
@@ -0,0 +1,112 @@
+package lupinwood.load;
+
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import lupinwood.log.Log;
+import lupinwood.net.NodeConfig;
+import lupinwood.net.Serving;
+import lupinwood.node.Moment;
+import lupinwood.reload.Look;
+import lupinwood.reload.Triggers;
+
+/**
+ * Reads a node's configuration anew when asked to or when its files change, on a thread of its own. What it does
+ * next is said by {@link Triggers}; a burst of signals ends in the newest files, since each reading begins after
+ * the signal that it answers.
+ */
+public final class Reloader {
+    private final Loader loader;
+    private final Serving serving;
+    private final Log log;
+    private final Triggers triggers;
+    /** The files of the configuration read last. */
+    private List<Path> files;
+    private boolean signalled;
+
+    /**
+     * @param loaded what the node was started with
+     * @param looked what its files looked like before they were read
+     */
+    public Reloader(Loader loader, Loader.Loaded loaded, Look looked, boolean watches, Serving serving, Log log) {
+        this.loader = loader;
+        this.serving = serving;
+        this.log = log;
+        files = loaded.files();
+        triggers = new Triggers(watches, looked, clock());
+    }
+
+    public void start() {
+        Thread thread = new Thread(this::work, "reload");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** May be called by any thread; never waits for a reading. */
+    public synchronized void signal() {
+        signalled = true;
+        notifyAll();
+    }
+
+    private void work() {
+        try {
+            while (true) {
+                await();
+                Look before = FileLooks.at(files);
+                if (triggers.looked(before, clock())) {
+                    read(before);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void await() throws InterruptedException {
+        while (!signalled) {
+            Moment next = triggers.next();
+            if (next.equals(Moment.NEVER)) {
+                wait();
+                continue;
+            }
+            long millis = TimeUnit.NANOSECONDS.toMillis(next.since(clock()).nanos()) + 1;
+            if (millis <= 0) {
+                return;
+            }
+            wait(millis);
+            if (!signalled && !clock().isBefore(next)) {
+                return;
+            }
+        }
+        signalled = false;
+        triggers.signalled(clock());
+    }
+
+    private void read(Look before) {
+        Loader.Loaded loaded = null;
+        String trouble = "";
+        try {
+            loaded = loader.load();
+            files = loaded.files();
+        } catch (NodeConfig.Unusable e) {
+            trouble = e.getMessage();
+        } catch (RuntimeException e) {
+            log.problem("nothing reloaded", e); // a fault of the program must not end all later reloads
+            trouble = "a fault of the program";
+        }
+        Triggers.Reading reading = loaded == null ? Triggers.Reading.UNUSABLE
+                : loaded.provesWhole() ? Triggers.Reading.WHOLE : Triggers.Reading.USABLE;
+        switch (triggers.judge(before, FileLooks.at(files), reading, clock())) {
+            case APPLY -> serving.reload(loaded.config());
+            case REPORT -> log.line("nothing reloaded: " + (trouble.isEmpty() ? "its files keep changing" : trouble));
+            case READ_AGAIN -> { }
+            default -> throw new IllegalStateException();
+        }
+    }
+
+    private static Moment clock() {
+        Instant instant = Instant.now();
+        return new Moment(instant.getEpochSecond() * 1_000_000_000L + instant.getNano());
+    }
+}
--- /dev/null
+++ b/src/test/java/lupinwood/cli/ServeProcessTest.java
@@ -0,0 +1,114 @@
+package lupinwood.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as a process of its own, told to reload by signals and by files. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+final class ServeProcessTest {
+    @TempDir
+    private Path folder;
+    private Process process;
+    private BufferedReader log;
+    private final List<String> lines = new ArrayList<>();
+
+    private void start(String prelude, String... options) throws IOException {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        write("config.json", 1, port);
+        String command = prelude + "exec '" + System.getProperty("java.home") + "/bin/java' -Xshare:auto -cp '"
+                + System.getProperty("java.class.path") + "' lupinwood.cli.Main serve --config config.json "
+                + String.join(" ", options);
+        process = new ProcessBuilder("/bin/sh", "-c", command).directory(folder.toFile()).start();
+        log = process.errorReader();
+        awaitLine("can't hear SIGHUP|reloads on SIGHUP");
+        this.port = port;
+    }
+
+    private int port;
+
+    private void write(String name, int executorPort, int port) throws IOException {
+        Files.writeString(folder.resolve(name), """
+                {"name": "n1", "listen": "127.0.0.1:%d", "executor": "127.0.0.1:%d", "index": "127.0.0.1:1",
+                 "naming": "127.0.0.1:1", "seed": "1", "stop_ms": 1500, "limits": {"sockets": 256},
+                 "settings": {"step_ns": 4000000, "rules": {"fall_ns": 2000000000, "drain_grace_ns": 1800000000},
+                 "customers": [{"name": "north", "share": 1.0, "quota_rps": 10.0}], "services": [{"name": "look", "effect": "pure", "worth": 1.0,
+                 "aim_ns": 2000000000, "give_up_ns": 8000000000}]}}""".formatted(port, executorPort));
+    }
+
+    private void replace(int executorPort) throws IOException {
+        write("next.json", executorPort, port);
+        Files.move(folder.resolve("next.json"), folder.resolve("config.json"), StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private String awaitLine(String pattern) throws IOException {
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            lines.add(line);
+            if (line.matches(".*(" + pattern + ").*")) {
+                return line;
+            }
+        }
+        throw new AssertionError("no line like " + pattern + " in " + lines);
+    }
+
+    private void hangUp() throws Exception {
+        assertThat(new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor()).isZero();
+    }
+
+    @AfterEach
+    void leave() throws Exception {
+        if (process != null) {
+            process.destroy();
+            boolean gone = process.waitFor(20, TimeUnit.SECONDS);
+            process.destroyForcibly();
+            assertThat(gone).isTrue();
+            assertThat(process.exitValue()).isZero();
+        }
+    }
+
+    @Test
+    void aNodeStartedWithSighupIgnoredSaysSoAndReloadsByTheFileAlone() throws Exception {
+        start("trap '' HUP; ");
+        assertThat(lines.get(lines.size() - 1)).contains("can't hear SIGHUP", "when its configuration's files change");
+        hangUp();
+        replace(2);
+        assertThat(awaitLine("reloaded: ")).contains("127.0.0.1:2");
+        Files.writeString(folder.resolve("config.json"), "{\"name\": ");
+        assertThat(awaitLine("nothing reloaded: ")).contains("is no JSON");
+        replace(3);
+        assertThat(awaitLine("reloaded: ")).contains("127.0.0.1:3");
+    }
+
+    @Test
+    void bothTriggersReloadOnceAndABurstOfSignalsEndsInTheNewestFile() throws Exception {
+        start("", "--watch", "on");
+        replace(2);
+        hangUp();
+        assertThat(awaitLine("reloaded: ")).contains("127.0.0.1:2");
+        for (int port = 10; port < 13; port++) {
+            replace(port);
+            hangUp();
+        }
+        awaitLine("reloaded: .*127.0.0.1:12");
+        replace(31);
+        awaitLine("reloaded: .*127.0.0.1:31");
+        assertThat(lines).filteredOn(line -> line.matches(".*reloaded: .*127.0.0.1:2\\b.*")).hasSize(1);
+    }
+}
