--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -24,7 +24,7 @@
 
     /** What the settings say of a track, and what was measured of it. */
     private static final class TrackBook {
-        final Track says;
+        Track says;
         final Histogram cost = new Histogram(MEMORY_OF);
         final Histogram calmCalls = new Histogram(MEMORY_OF);
         /** How many tickets came to their first, second, ... call, how many ended it; halved with time. */
@@ -55,8 +55,8 @@
 
     /** One customer's share of this node in tickets a second, and what it has saved up of it. */
     private final class CustomerBook {
-        final double rate;
-        final double span;
+        double rate;
+        double span;
         double saved;
         double came;
         double kept;
@@ -64,10 +64,14 @@
         Moment seen = born;
 
         CustomerBook(int i) {
+            read(i);
+            saved = rate * SAVED_UP;
+        }
+
+        void read(int i) {
             rate = settings.number("customers." + i + ".quota_rps", 0)
                     / Math.max(1, settings.number("group_size", 1));
             span = Math.max(SAVED_UP, MEMORY_OF / 2 / Math.max(1e-9, rate));
-            saved = rate * SAVED_UP;
         }
 
         void bringUp() {
@@ -101,7 +105,7 @@
     }
 
     private final Server server;
-    private final Settings settings;
+    private Settings settings;
     private final List<TrackBook> tracks = new ArrayList<>();
     private final List<CustomerBook> customers = new ArrayList<>();
     private final double cores;
@@ -109,7 +113,7 @@
     private final double entryKb;
     private final Moment born;
     private final Span step;
-    private final double meanAgreed;
+    private double meanAgreed;
     private final double toldShare; // of calls in hand; without a shared dependency only the limit binds
     private double callsAllowed;
     private Moment nextCall;
@@ -171,15 +175,27 @@
             tracks.add(new TrackBook(Track.read(settings, i)));
         }
         mostFloor = 1 - 1.0 / Math.max(1, tracks.size());
-        meanAgreed = tracks.stream().mapToDouble(track -> track.says.agreed().seconds()).average().orElse(1);
         for (int i = 0; i < settings.number("customers.count", 0); i++) {
             customers.add(new CustomerBook(i));
         }
+        retune(map);
         idle = settings.span("domain.keepalive_max_ns");
         server.health(true, true);
         beat();
     }
 
+    @Override
+    public void retune(Map<String, String> map) {
+        settings = new Settings(map);
+        for (int i = 0; i < tracks.size(); i++) {
+            tracks.get(i).says = Track.read(settings, i);
+        }
+        for (int i = 0; i < customers.size(); i++) {
+            customers.get(i).read(i);
+        }
+        meanAgreed = tracks.stream().mapToDouble(track -> track.says.agreed().seconds()).average().orElse(1);
+    }
+
     // ---- arrival ----
 
     @Override
--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -26,6 +26,10 @@
     @Parameter(names = "--config", description = "The node's configuration; else what RELAY_CONFIG names")
     private String file;
 
+    @Parameter(names = "--operator", description = "The operator's own entries beside the platform's configuration,"
+            + " in the language of 'config'")
+    private String operator;
+
     @Parameter(names = "--watch", description = "Reload when the configuration's files change: 'on', 'off', or"
             + " 'auto', which is on where SIGHUP can't be heard")
     private Watching watching = Watching.AUTO;
@@ -43,7 +47,7 @@
             System.err.println("lupinwood: no configuration: give --config or set RELAY_CONFIG");
             return UNUSABLE;
         }
-        Loader loader = new Loader(Path.of(path));
+        Loader loader = new Loader(Path.of(path), operator == null ? null : Path.of(operator));
         Look looked = loader.look();
         Loader.Loaded loaded;
         try {
@@ -55,6 +59,9 @@
         NodeConfig config = loaded.config();
         Log log = Log.start();
         LibraryLogs.sendTo(log);
+        if (config.doubtful() != null) {
+            log.line("in doubt, and served all the same: " + config.doubtful());
+        }
         boolean heard = Hangup.onEach(this::reload);
         Serving node = new Serving(config, Brain::new, log);
         try {
--- /dev/null
+++ b/src/main/java/lupinwood/config/Conversion.java
@@ -0,0 +1,94 @@
+package lupinwood.config;
+
+import java.math.BigDecimal;
+import java.util.Locale;
+import lupinwood.settings.Entry;
+import lupinwood.settings.Kind;
+import lupinwood.settings.Meaning;
+
+/** Makes of one word the value that an entry keeps, or says what is wrong with it. */
+final class Conversion {
+    private Conversion() {}
+
+    /** Null where it can't be used, which was then told. */
+    static String of(Word word, Entry entry, Problems problems) {
+        Quantities.Read read = read(word, entry);
+        if (read.text() != null && !read.text().isEmpty()) {
+            problems.add(word.place(), read.text(), read.instead());
+            return null;
+        }
+        return read.value() != null ? plain(read.value()) : read.instead();
+    }
+
+    /** Of what is no number, the value stands where one says what to write instead. */
+    private static Quantities.Read read(Word word, Entry entry) {
+        Kind kind = entry.kind();
+        String text = word.text();
+        if (!word.note().isEmpty() && !(kind.isNumber() && word.kind() == Word.Kind.NUMBER)) {
+            return Quantities.Read.wrong("(" + word.note() + ") means nothing before this value", "take it out");
+        }
+        if (kind.isNumber()) {
+            return switch (word.kind()) {
+                case NUMBER -> Quantities.read(text, word.note(), entry);
+                case QUOTED -> Quantities.Read.wrong("a text in quotes is no number",
+                        text.isEmpty() ? Meaning.wanted(entry) : "write " + text + " without quotes");
+                default -> Quantities.Read.wrong(text + " is no number", Meaning.wanted(entry));
+            };
+        }
+        return switch (kind) {
+            case FLAG -> flag(word, entry);
+            case WORD -> word(word, entry);
+            default -> text(word, entry);
+        };
+    }
+
+    private static Quantities.Read good(String value) {
+        return new Quantities.Read(null, null, value);
+    }
+
+    private static Quantities.Read flag(Word word, Entry entry) {
+        if (word.kind() == Word.Kind.KEYWORD && (word.text().equals("#true") || word.text().equals("#false"))) {
+            return good(word.text().substring(1));
+        }
+        String instead = switch (word.text().toLowerCase(Locale.ROOT)) {
+            case "true", "yes", "on", "1" -> "write #true";
+            case "false", "no", "off", "0", "#null" -> "write #false";
+            default -> "write #true or #false";
+        };
+        return Quantities.Read.wrong(word.text() + " is no answer to whether: " + entry.own(), instead);
+    }
+
+    private static Quantities.Read word(Word word, Entry entry) {
+        if (word.kind() != Word.Kind.KEYWORD && entry.saidAs().contains(word.text())) {
+            return good(word.text());
+        }
+        String known = entry.said(word.text());
+        String near = known.equals(word.text()) ? Names.nearest(word.text(), entry.saidAs()) : known;
+        return Quantities.Read.wrong(word.text() + " is no " + entry.own(),
+                near == null ? Meaning.wanted(entry) : "write " + near);
+    }
+
+    private static Quantities.Read text(Word word, Entry entry) {
+        String text = word.text();
+        boolean quotesDo = entry.kind() != Kind.ADDRESS || Meaning.isAddress(text);
+        if (quotesDo && (word.kind() == Word.Kind.NUMBER || word.kind() == Word.Kind.KEYWORD)) {
+            return Quantities.Read.wrong(text + " is no text", "write \"" + text.replace("#", "") + "\"");
+        }
+        if (text.isBlank()) {
+            return Quantities.Read.wrong("this text is empty", Meaning.wanted(entry));
+        }
+        if (entry.kind() == Kind.ADDRESS && !Meaning.isAddress(text)) {
+            return Quantities.Read.wrong("this is no host and port: " + text, "write HOST:PORT in quotes, as"
+                    + " \"127.0.0.1:5050\", with a port from 1 to 65535");
+        }
+        if (entry.kind() == Kind.HEX && !text.matches("[0-9a-fA-F]{1,16}")) {
+            return Quantities.Read.wrong("this is no hexadecimal number of up to 16 digits: " + text,
+                    Meaning.wanted(entry));
+        }
+        return good(text);
+    }
+
+    private static String plain(BigDecimal number) {
+        return number.signum() == 0 ? "0" : number.stripTrailingZeros().toPlainString();
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/config/Problems.java
@@ -0,0 +1,37 @@
+package lupinwood.config;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** The mistakes found so far, in a number that somebody can read. */
+public final class Problems {
+    private static final int MOST = 200;
+
+    private final List<Problem> found = new ArrayList<>();
+    private int more;
+
+    void add(Place place, String text, String instead) {
+        if (found.size() < MOST) {
+            found.add(new Problem(place, text, instead));
+        } else {
+            more++;
+        }
+    }
+
+    public boolean isEmpty() {
+        return found.isEmpty();
+    }
+
+    /** How many were left out. */
+    public int more() {
+        return more;
+    }
+
+    /** File by file, in the order of lines. */
+    public List<Problem> all() {
+        List<String> files = found.stream().map(problem -> problem.place().file()).distinct().toList();
+        return found.stream().sorted(Comparator.<Problem>comparingInt(p -> files.indexOf(p.place().file()))
+                .thenComparingInt(p -> p.place().line()).thenComparingInt(p -> p.place().column())).toList();
+    }
+}
--- a/src/main/java/lupinwood/core/Admission.java
+++ b/src/main/java/lupinwood/core/Admission.java
@@ -51,6 +51,10 @@
         return new CustomerId(customers.get(arrival.customer()));
     }
 
+    Track says(TrackId track) {
+        return says.get(track.number());
+    }
+
     Track says(Arrival arrival) {
         return says.get(tracks.get(arrival.track()));
     }
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -18,6 +18,7 @@
 import lupinwood.node.Ticket;
 import lupinwood.node.TicketId;
 import lupinwood.node.Track;
+import lupinwood.node.TrackId;
 
 /**
  * The machine as its node sees it. News is told to this by one thread, which sets the time first with
@@ -41,7 +42,7 @@
     private static final Span WINDOW_SLACK = Span.ofSeconds(0.05);
     private static final Span ASK_AGAIN = Span.ofSeconds(0.004);
 
-    private final Map<String, String> settings;
+    private Map<String, String> settings;
     private final long seed;
     private final Maker maker;
     private final Ports ports;
@@ -50,7 +51,7 @@
     private final Slots<Taken> tickets;
     private final Map<TryId, Taken> byTry = new HashMap<>();
     private final Receipts receipts;
-    private final Admission admission;
+    private Admission admission;
     private final Tags tags = new Tags();
     private final List<String> gaugeNames;
     private final WakeUps wakeUps;
@@ -60,6 +61,8 @@
 
     private Moment now;
     private Node node;
+    /** Whether the executor was cold when the node was made. */
+    private boolean bornCold;
     private double advice = -1;
     private boolean leaving;
     private Moment lastTicket;
@@ -242,15 +245,47 @@
         if (leaving) {
             return; // a node that leaves before it had an executor begins nothing
         }
-        Map<String, String> told = new HashMap<>(settings);
-        told.put("domain.cold", Boolean.toString(cold));
+        bornCold = cold;
         Moment present = now;
         now = now.minus(age);
-        node = maker.make(this, seed, told);
+        node = maker.make(this, seed, told(settings));
         now = present;
         ports.log().accept("the executor is up, " + (cold ? "cold" : "warm"));
     }
 
+    private Map<String, String> told(Map<String, String> from) {
+        Map<String, String> told = new HashMap<>(from);
+        told.put("domain.cold", Boolean.toString(bornCold));
+        return told;
+    }
+
+    /** Settings that may be taken over in one step, made outside of the deciding thread. */
+    public static final class Tuning {
+        private final Map<String, String> settings;
+        private final Admission admission;
+
+        public Tuning(Map<String, String> settings) {
+            this.settings = Map.copyOf(settings);
+            admission = new Admission(new Settings(settings));
+        }
+    }
+
+    /**
+     * Takes over settings that differ only in what may change while the node runs; false once it leaves, since the
+     * notice to leave was given under the old ones.
+     */
+    public boolean retune(Tuning tuning) {
+        if (leaving) {
+            return false;
+        }
+        if (node != null) {
+            node.retune(told(tuning.settings));
+        }
+        settings = tuning.settings;
+        admission = tuning.admission;
+        return true;
+    }
+
     /** What ran there will never end, and may have had its effect. */
     public void executorStartedAnew() {
         ports.log().accept("the executor was started anew, its runs are lost");
@@ -565,8 +600,20 @@
         Moment ends = now.plus(span).plus(WINDOW_SLACK);
         Receipts.Receipt receipt =
                 receipts.remember(taken.arrival.receipt(), ticket, ends, taken.arrival.body());
-        // A repeat that came in time may be read up to its abandon time later.
-        deadlines.at(ends.plus(track(taken).abandon()), () -> receipts.drop(receipt));
+        dropOnceOver(receipt, admission.track(taken.arrival));
+    }
+
+    /**
+     * A repeat that came in time may be read up to its abandon time later; that time may grow meanwhile, by a
+     * configuration, and the receipt must outlive it all the same.
+     */
+    private void dropOnceOver(Receipts.Receipt receipt, TrackId track) {
+        Moment over = receipt.ends.plus(admission.says(track).abandon());
+        if (now.isBefore(over)) {
+            deadlines.at(over, () -> dropOnceOver(receipt, track));
+        } else {
+            receipts.drop(receipt);
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/lupinwood/lab/Audit.java
@@ -0,0 +1,94 @@
+package lupinwood.lab;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Holds what was sent, run and answered against the rules: each ticket has one final answer before its abandon time,
+ * no mark and no effectful ticket runs twice, what is satisfied has the result of its own body. Thread-safe.
+ */
+final class Audit {
+    /** A ticket as it was sent. */
+    record Sent(String track, String body, String mark, long atMillis, long abandonMillis) {}
+
+    private final Map<String, Sent> open = new HashMap<>();
+    private final Map<String, Integer> answered = new HashMap<>();
+    private final Map<String, String> marks = new HashMap<>();
+    private final Map<String, Integer> runsOf = new HashMap<>();
+    private final Map<String, Integer> counts = new TreeMap<>();
+    private final List<String> broken = new ArrayList<>();
+    private long slackMillis = 100;
+
+    synchronized void sent(String id, Sent ticket) {
+        open.put(id, ticket);
+        marks.put(id, ticket.mark());
+        count("sent");
+    }
+
+    /** @param word as the node said it */
+    synchronized void answer(String id, String word, String result, long nowMillis) {
+        Sent ticket = open.remove(id);
+        if (answered.merge(id, 1, Integer::sum) > 1) {
+            breaks("two answers to " + id);
+        } else if (ticket == null) {
+            breaks("an answer to " + id + ", which was never sent");
+        } else {
+            String kind = word.equals("ACK") ? "satisfied" : word.equals("NAK") ? "bounced" : "abandoned";
+            count(kind);
+            if (nowMillis > ticket.atMillis() + ticket.abandonMillis() + slackMillis) {
+                breaks(id + " was answered " + (nowMillis - ticket.atMillis()) + " ms after it was sent");
+            }
+            if (kind.equals("satisfied") && !result.equals("done: " + ticket.body())) {
+                breaks(id + " was satisfied with another's result");
+            }
+            if (kind.equals("bounced") && runsOf.containsKey("try " + id)) {
+                breaks(id + " was bounced and ran");
+            }
+        }
+    }
+
+    /** A run started that wasn't under way. */
+    synchronized void ran(String id, String track, String body) {
+        count("runs");
+        int tries = runsOf.merge("try " + id, 1, Integer::sum);
+        String mark = marks.get(id);
+        if (mark != null && runsOf.merge("mark " + mark, 1, Integer::sum) > 1) {
+            breaks("the mark " + mark + " ran twice");
+        } else if (tries > 1) {
+            breaks(id + " of " + track + " ran twice");
+        }
+    }
+
+    private void breaks(String what) {
+        broken.add(what);
+    }
+
+    synchronized void count(String what) {
+        counts.merge(what, 1, Integer::sum);
+    }
+
+    synchronized int openTickets() {
+        return open.size();
+    }
+
+    synchronized int of(String what) {
+        return counts.getOrDefault(what, 0);
+    }
+
+    /** Ends it: what is open now was lost. */
+    synchronized List<String> close() {
+        open.keySet().forEach(id -> breaks("no answer to " + id));
+        open.clear();
+        return List.copyOf(broken);
+    }
+
+    /** What was counted, in one line. */
+    synchronized String line() {
+        StringBuilder line = new StringBuilder();
+        counts.forEach((what, number) -> line.append(what).append(' ').append(number).append(", "));
+        return line.append("broken ").append(broken.size()).toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/lab/Caller.java
@@ -0,0 +1,58 @@
+package lupinwood.lab;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
+
+/** A dispatcher with one connection to the node; its answers are read by a thread of its own. */
+final class Caller implements Closeable {
+    private final Socket socket;
+    private final Audit audit;
+    private final Map<String, String> tags = new ConcurrentHashMap<>();
+    private final BiConsumer<String, List<String>> heard;
+    private long tag;
+
+    /** @param heard hears each answer's ticket id and its words */
+    Caller(int port, Audit audit, BiConsumer<String, List<String>> heard) throws IOException {
+        this.audit = audit;
+        this.heard = heard;
+        socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setTcpNoDelay(true);
+        Door.daemon(this::read);
+        socket.getOutputStream().write(Wire.array("HEALTH", "1000000")); // who says nothing for long is closed
+    }
+
+    private void read() {
+        try (InputStream in = new BufferedInputStream(socket.getInputStream())) {
+            for (List<String> words = Wire.array(in); words != null; words = Wire.array(in)) {
+                String id = tags.get(words.get(0));
+                if (id != null) {
+                    audit.answer(id, words.get(1), words.size() > 3 ? words.get(3) : "", System.currentTimeMillis());
+                    heard.accept(id, words);
+                }
+            }
+        } catch (IOException e) {
+            // The connection ended; what is open on it is found by the audit.
+        }
+    }
+
+    synchronized void send(String id, Audit.Sent ticket, String customer) throws IOException {
+        String fields = "req=" + id + ",ts=" + ticket.atMillis() + ",via=1,owner=" + customer + ",need=20.5,level=0.5"
+                + (ticket.mark() == null ? "" : ",opkey=" + ticket.mark());
+        audit.sent(id, ticket);
+        tags.put(Long.toString(++tag), id);
+        socket.getOutputStream().write(Wire.array("REQ", Long.toString(tag), ticket.track(), fields, ticket.body()));
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/lab/Experiments.java
@@ -0,0 +1,24 @@
+package lupinwood.lab;
+
+import java.io.PrintStream;
+import lupinwood.log.Log;
+
+/** The runs by their names. */
+public final class Experiments {
+    public static final String NAMES = "tour, reload-storm";
+
+    private Experiments() {}
+
+    /**
+     * Null where there is none of that name.
+     *
+     * @param size how many steps it has where it has any; 0 for its usual number
+     */
+    public static Experiment named(String name, long seed, int size, PrintStream out, Log log) {
+        return switch (name) {
+            case "tour" -> new Tour(seed, out, log);
+            case "reload-storm" -> new ReloadStorm(seed, size > 0 ? size : 300, log);
+            default -> null;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/lab/ReloadStorm.java
@@ -0,0 +1,285 @@
+package lupinwood.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import lupinwood.Brain;
+import lupinwood.load.Loader;
+import lupinwood.load.Reloader;
+import lupinwood.log.Log;
+import lupinwood.net.NodeConfig;
+import lupinwood.net.Serving;
+import lupinwood.reload.Look;
+import lupinwood.reload.Triggers;
+
+/**
+ * One node in this process under a load of all kinds of tickets, while its configuration changes again and again:
+ * valid, broken, half-written, in bursts, to executors at other addresses and to one that never says WELCOME.
+ */
+final class ReloadStorm implements Experiment {
+    private static final int CALLERS = 4;
+    private static final long PATIENCE_MILLIS = 20_000;
+    private static final long ABANDON_MILLIS = 6000;
+
+    private final Random random;
+    private final int reloads;
+    private final Log log;
+    private final Audit audit = new Audit();
+    private final StandInExecutor executor = new StandInExecutor(4, audit, run -> { });
+    private final List<String> wrong = new ArrayList<>();
+    private final AtomicBoolean sending = new AtomicBoolean(true);
+    private Door[] executors;
+    private Door[] indexes;
+    private Door[] namings;
+    private Door mute;
+    private int listen;
+    private Path folder;
+    private Reloader reloader;
+    private Serving node;
+    private int window = 9000;
+    private int quota = 500;
+    private int place;
+
+    ReloadStorm(long seed, int reloads, Log log) {
+        random = new Random(seed);
+        this.reloads = reloads;
+        this.log = log;
+    }
+
+    @Override
+    public Outcome run() throws Exception {
+        folder = Files.createTempDirectory("lab");
+        executors = new Door[] {new Door(0, executor::talk), new Door(0, executor::talk)};
+        indexes = new Door[] {new Door(0, StandIns::index), new Door(0, StandIns::index)};
+        namings = new Door[] {new Door(0, StandIns::naming), new Door(0, StandIns::naming)};
+        mute = new Door(0, StandIns::mute);
+        try (Door free = new Door(0, StandIns::mute)) {
+            listen = free.port();
+        }
+        Files.writeString(folder.resolve("rest.kdl"), rest());
+        replace(text(false));
+        Loader loader = new Loader(folder.resolve("node.kdl"), null);
+        Look looked = loader.look();
+        Loader.Loaded loaded = loader.load();
+        node = new Serving(loaded.config(), Brain::new, log);
+        node.start();
+        reloader = new Reloader(loader, loaded, looked, false, node, log);
+        reloader.start();
+        await("the executor's first WELCOME", () -> node.executorAt() != null);
+        for (int i = 0; i < CALLERS; i++) {
+            long seed = random.nextLong();
+            Door.daemon(() -> call(new Random(seed)));
+        }
+        for (int i = 0; i < reloads; i++) {
+            reload(random.nextInt(12));
+        }
+        replace(text(false));
+        settle();
+        Thread.sleep(300); // the load goes on for a while under the last configuration
+        sending.set(false);
+        await("the last answer", () -> audit.openTickets() == 0);
+        await("tables that are level", () -> node.figures().contains("open 0, tickets 0,"));
+        node.leave();
+        List<String> broken = new ArrayList<>(audit.close());
+        broken.addAll(wrong);
+        closeAll();
+        return new Outcome("reload-storm: reloads " + reloads + ", links " + executor.links() + ", " + audit.line()
+                + (wrong.isEmpty() ? "" : ", wrong " + wrong.size()), broken);
+    }
+
+    private void closeAll() throws IOException {
+        for (Door[] doors : new Door[][] {executors, indexes, namings, {mute}}) {
+            for (Door door : doors) {
+                door.close();
+            }
+        }
+        for (String name : List.of("node.kdl", "rest.kdl", "next.kdl")) {
+            Files.deleteIfExists(folder.resolve(name));
+        }
+        Files.deleteIfExists(folder);
+    }
+
+    // ---- load ----
+
+    private void call(Random chance) {
+        try (Caller caller = new Caller(listen, audit, (id, words) -> { })) {
+            String lastMark = null;
+            String lastBody = "";
+            while (sending.get()) {
+                String id = String.format("%016x", chance.nextLong());
+                int kind = chance.nextInt(10);
+                String track = kind < 4 ? "history" : kind < 6 ? "quote" : kind < 7 ? "report" : "unlock";
+                String mark = null;
+                String body = track + " " + id;
+                if (track.equals("unlock")) {
+                    boolean repeat = lastMark != null && chance.nextInt(3) == 0;
+                    mark = repeat ? lastMark : String.format("%016x%016x", chance.nextLong(), chance.nextLong());
+                    body = repeat ? lastBody : body;
+                    lastMark = mark;
+                    lastBody = body;
+                }
+                caller.send(id, new Audit.Sent(track, body, mark, System.currentTimeMillis(), ABANDON_MILLIS),
+                        chance.nextBoolean() ? "north" : "south");
+                Thread.sleep(4 + chance.nextInt(8));
+            }
+            await("this caller's last answers", () -> audit.openTickets() == 0);
+        } catch (IOException e) {
+            synchronized (wrong) {
+                wrong.add("a caller's connection broke: " + e.getMessage());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    // ---- reloads ----
+
+    private void reload(int kind) throws Exception {
+        switch (kind) {
+            case 0, 1, 2, 3 -> valid();
+            case 4, 5 -> broken(text(false).replace("stop 3s", "stop 3"));
+            case 6 -> broken(text(false).replace("effect receipted", "effect pure"));
+            case 7, 8 -> halfWritten();
+            case 9, 10 -> burst();
+            default -> toTheMute();
+        }
+    }
+
+    private void change() {
+        place = random.nextInt(2);
+        quota = 300 + random.nextInt(500);
+        window = 8000 + random.nextInt(4000);
+    }
+
+    private void valid() throws Exception {
+        change();
+        replace(text(false));
+        settle();
+    }
+
+    private void broken(String text) throws Exception {
+        NodeConfig before = node.goesBy();
+        replace(text);
+        reloader.signal();
+        audit.count("refused");
+        await("an end of the reading", () -> reloader.isIdle());
+        if (!node.goesBy().equals(before)) {
+            wrong.add("a configuration that can't be used changed the node");
+        }
+    }
+
+    /** Written in two parts, with the signal in between; the first part is a sound text, and another one. */
+    private void halfWritten() throws Exception {
+        change();
+        String text = text(false);
+        int half = text.indexOf("moves {");
+        Path file = folder.resolve("node.kdl");
+        Files.writeString(file, text.substring(0, half).replaceFirst("quota \\d+/s", "quota 1/s"));
+        long begun = System.nanoTime();
+        reloader.signal();
+        Thread.sleep(random.nextInt(20));
+        boolean early = node.goesBy().meaning().value("customer north quota").equals("1");
+        Files.writeString(file, text);
+        audit.count("half-written");
+        if (early && System.nanoTime() - begun < Triggers.QUIET.nanos()) {
+            wrong.add("half of a text was taken over");
+        }
+        settle();
+    }
+
+    private void burst() throws Exception {
+        int times = 2 + random.nextInt(8);
+        for (int i = 0; i < times; i++) {
+            change();
+            replace(text(false));
+            reloader.signal();
+        }
+        settle();
+    }
+
+    /** The node goes back to the old executor by itself, and there again once it is configured so. */
+    private void toTheMute() throws Exception {
+        replace(text(true));
+        reloader.signal();
+        audit.count("mute");
+        await("the new address", () -> node.goesBy().executor().getPort() == mute.port());
+        int links = executor.links();
+        await("the way back", () -> executor.links() > links);
+        replace(text(false));
+        settle();
+    }
+
+    /** Signals, and waits until the node goes by the newest file. */
+    private void settle() throws Exception {
+        reloader.signal();
+        audit.count("applied");
+        await("the newest configuration", () -> {
+            NodeConfig now = node.goesBy();
+            return now.meaning().value("customer north quota").equals(Integer.toString(quota))
+                    && now.executor().getPort() == executors[place].port()
+                    && now.settings().get("services.2.window_ns").equals(window + "000000");
+        });
+        await("the executor there", () -> node.executorAt().getPort() == executors[place].port());
+    }
+
+    private void replace(String text) throws IOException {
+        Path next = Files.writeString(folder.resolve("next.kdl"), text);
+        Files.move(next, folder.resolve("node.kdl"), StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private void await(String what, BooleanSupplier done) throws InterruptedException {
+        long end = System.currentTimeMillis() + PATIENCE_MILLIS;
+        while (!done.getAsBoolean()) {
+            if (System.currentTimeMillis() > end) {
+                synchronized (wrong) {
+                    wrong.add("waited in vain for " + what);
+                }
+                return;
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    // ---- texts ----
+
+    private String text(boolean toMute) {
+        return """
+                name storm
+                listen "127.0.0.1:%d"
+                executor "%s"
+                index "%s"
+                naming "%s"
+                stop 3s
+                customer north { share 50%%; quota %d/s }
+                track history { effect pure; agreed-time 2s; abandon-time %dms }
+                track quote { effect pure; agreed-time 2s; abandon-time %dms; calls #true }
+                track unlock { effect receipted; agreed-time 2s; abandon-time %dms; window %dms; calls #true }
+                track report { effect effectful; agreed-time 2s; abandon-time %dms; calls #true }
+                include "rest.kdl"
+                moves { welcome-within 150ms }
+                """.formatted(listen, toMute ? mute.address() : executors[place].address(),
+                indexes[place].address(), namings[place].address(), quota, ABANDON_MILLIS, ABANDON_MILLIS,
+                ABANDON_MILLIS, window, ABANDON_MILLIS);
+    }
+
+    private static String rest() {
+        return """
+                seed "5707"
+                step 4ms
+                limits { descriptors 512 }
+                machine { cores 4; memory 400MB; below one-for-all; calls-out 64; calls-over 5s; linger 200ms
+                    gauges core_use on_cores heap_share links; advice allowance; idle-connections 30s }
+                goal { whole 50%; worst-track 50% }
+                bounced { come-back-after-most 1s; tells-when #true }
+                rules { drain-grace 1s; crowd 6; crowd-over 2s }
+                customer south { share 50%; quota 500/s }
+                """;
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/load/LanguageLoader.java
@@ -0,0 +1,57 @@
+package lupinwood.load;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import lupinwood.config.Config;
+import lupinwood.config.Problem;
+import lupinwood.config.Reader;
+import lupinwood.net.NodeConfig;
+import lupinwood.settings.Meaning;
+
+/** Configurations in the language, whole or beside the platform's JSON. */
+final class LanguageLoader {
+    private LanguageLoader() {}
+
+    static Loader.Loaded load(Path file, Path operator) throws NodeConfig.Unusable {
+        FileSources sources = new FileSources();
+        List<Path> files = new ArrayList<>();
+        NodeConfig config;
+        if (Loader.isLanguage(file)) {
+            config = NodeConfig.of(sound(Reader.read(sources, file.toString())));
+        } else {
+            config = NodeConfig.read(file);
+            files.add(file);
+        }
+        if (operator != null) {
+            FileSources beside = new FileSources();
+            Meaning part = sound(Reader.readPart(beside, operator.toString()));
+            Map<String, String> values = new LinkedHashMap<>(config.meaning().values());
+            for (Map.Entry<String, String> each : part.values().entrySet()) {
+                if (Meaning.entry(each.getKey()) == null || !Meaning.entry(each.getKey()).key().startsWith("operator.")) {
+                    throw new NodeConfig.Unusable(operator + ": " + each.getKey()
+                            + " is the platform's to say, not the operator's");
+                }
+                values.put(each.getKey(), each.getValue());
+            }
+            Meaning both = new Meaning(config.meaning().tracks(), config.meaning().customers(),
+                    Meaning.ordered(config.meaning().tracks(), config.meaning().customers(), values));
+            config = config.with(both);
+            files.addAll(beside.files());
+        }
+        files.addAll(sources.files());
+        return new Loader.Loaded(config, files, false);
+    }
+
+    private static Meaning sound(Config config) throws NodeConfig.Unusable {
+        if (!config.problems().isEmpty()) {
+            List<Problem> all = config.problems().all();
+            Problem first = all.get(0);
+            throw new NodeConfig.Unusable(first.place() + ": " + first.text() + (first.instead().isEmpty() ? ""
+                    : " (" + first.instead() + ")") + (all.size() > 1 ? ", and " + (all.size() - 1) + " more" : ""));
+        }
+        return config.meaning();
+    }
+}
--- a/src/main/java/lupinwood/load/Loader.java
+++ b/src/main/java/lupinwood/load/Loader.java
@@ -1,11 +1,12 @@
 package lupinwood.load;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import lupinwood.net.NodeConfig;
 import lupinwood.reload.Look;
 
-/** Reads a node's configuration from where it stands. */
+/** Reads a node's configuration from where it stands: the platform's JSON, or the language of the operators. */
 public final class Loader {
     /**
      * A configuration that can be used.
@@ -16,17 +17,33 @@
     public record Loaded(NodeConfig config, List<Path> files, boolean provesWhole) {}
 
     private final Path file;
+    /** The operator's own entries beside the platform's JSON, or null. */
+    private final Path operator;
 
-    public Loader(Path file) {
+    public Loader(Path file, Path operator) {
         this.file = file;
+        this.operator = operator;
+    }
+
+    /** Whether a file is written in the language, by its name. */
+    public static boolean isLanguage(Path file) {
+        return file.toString().endsWith(".kdl");
     }
 
     public Loaded load() throws NodeConfig.Unusable {
-        return new Loaded(NodeConfig.read(file), List.of(file), true);
+        if (!isLanguage(file) && operator == null) {
+            return new Loaded(NodeConfig.read(file), List.of(file), true);
+        }
+        // A class of its own, so that the language isn't loaded where it isn't used.
+        return LanguageLoader.load(file, operator);
     }
 
-    /** What the files look like now. */
+    /** What the files look like now, as far as they are known before any is read. */
     public Look look() {
-        return FileLooks.at(List.of(file));
+        List<Path> files = new ArrayList<>(List.of(file));
+        if (operator != null) {
+            files.add(operator);
+        }
+        return FileLooks.at(files);
     }
 }
--- a/src/main/java/lupinwood/load/Reloader.java
+++ b/src/main/java/lupinwood/load/Reloader.java
@@ -24,6 +24,8 @@
     /** The files of the configuration read last. */
     private List<Path> files;
     private boolean signalled;
+    /** Whether the triggers are at rest. */
+    private boolean idle = true;
 
     /**
      * @param loaded what the node was started with
@@ -49,6 +51,11 @@
         notifyAll();
     }
 
+    /** Whether every signal so far was answered by a reading, and none is to be made again. */
+    public synchronized boolean isIdle() {
+        return !signalled && idle;
+    }
+
     private void work() {
         try {
             while (true) {
@@ -57,12 +64,17 @@
                 if (triggers.looked(before, clock())) {
                     read(before);
                 }
+                rest();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private synchronized void rest() {
+        idle = triggers.isAtRest();
+    }
+
     private synchronized void await() throws InterruptedException {
         while (!signalled) {
             Moment next = triggers.next();
@@ -80,6 +92,7 @@
             }
         }
         signalled = false;
+        idle = false;
         triggers.signalled(clock());
     }
 
--- a/src/main/java/lupinwood/net/ExecutorLink.java
+++ b/src/main/java/lupinwood/net/ExecutorLink.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Arrays;
+import java.util.function.Consumer;
 import lupinwood.core.Deadlines;
 import lupinwood.core.Ending;
 import lupinwood.core.Executor;
@@ -9,6 +10,7 @@
 import lupinwood.core.TryId;
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
+import lupinwood.reload.Move;
 
 /**
  * The link to the executor, kept open; a lost one is replaced, and the notices missed come once each. To move
@@ -25,7 +27,10 @@
     private static final long MOST_WAITING = 4 * 1024 * 1024;
 
     private final Means means;
-    private InetSocketAddress address;
+    /** Where to connect, and whether a move there is kept. */
+    private final Move<InetSocketAddress> move;
+    /** Hears of the address that the link went back to, or on to. */
+    private final Consumer<InetSocketAddress> moved;
     private Host host;
     /** The number of the last notice read. */
     private long last;
@@ -40,8 +45,9 @@
     private Moment lostAt;
     private boolean failing;
 
-    ExecutorLink(InetSocketAddress address, Means means) {
-        this.address = address;
+    ExecutorLink(InetSocketAddress address, Consumer<InetSocketAddress> moved, Means means) {
+        move = new Move<>(address);
+        this.moved = moved;
         this.means = means;
         means.decider().addWriter(this::flush);
     }
@@ -51,18 +57,50 @@
         connect();
     }
 
-    /** A new configuration names this address. */
-    void moveTo(InetSocketAddress next) {
-        if (!next.equals(address)) {
-            address = next;
+    /** A new configuration names this address; it has so long to say WELCOME, zero for as long as it takes. */
+    void moveTo(InetSocketAddress next, Span within) {
+        if (move.to(next, within, host.now())) {
             connect();
+            watch();
+        }
+    }
+
+    private void watch() {
+        if (!move.due().equals(Moment.NEVER)) {
+            means.deadlines().at(move.due(), () -> {
+                Move.Next next = move.look(host.now());
+                if (next != Move.Next.NOTHING) {
+                    means.log().line((next == Move.Next.GO_BACK ? "the new executor said no WELCOME in time, back to "
+                            : "the executor before says no WELCOME either, once more to ") + move.current());
+                    leaveNewest();
+                    connect();
+                    watch();
+                }
+            });
+        }
+    }
+
+    /** Guards against two links that both believe to be the next: the one given up must not join any more. */
+    private void leaveNewest() {
+        Link given = newest;
+        newest = null;
+        if (given == link) {
+            // It joined and was never welcomed, so nothing was written to it; the one before may still stand.
+            link = given.before;
+            given.before = null;
+        }
+        if (link != null) {
+            link.handsOver = 0;
+        }
+        if (given.outbox() != null) {
+            given.outbox().closeNow();
         }
     }
 
     private void connect() {
         means.deadlines().callOff(again);
         newest = new Link();
-        newest.connect(means.sockets(), address);
+        newest.connect(means.sockets(), move.current());
     }
 
     @Override
@@ -171,6 +209,8 @@
         private void welcome(boolean cold, Span age) {
             welcomed = true;
             failing = false;
+            move.welcomed();
+            moved.accept(move.current());
             if (before != null) {
                 before.outbox().closeNow();
                 before = null;
--- a/src/main/java/lupinwood/net/NodeConfig.java
+++ b/src/main/java/lupinwood/net/NodeConfig.java
@@ -1,7 +1,6 @@
 package lupinwood.net;
 
 import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.io.IOException;
@@ -12,9 +11,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.StringJoiner;
 import java.util.TreeMap;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import lupinwood.node.Span;
+import lupinwood.settings.Checks;
+import lupinwood.settings.Entry;
+import lupinwood.settings.Fault;
+import lupinwood.settings.Meaning;
+import lupinwood.settings.Schema;
 
 /**
  * What a node is told at its start.
@@ -22,6 +29,8 @@
  * @param stop how long after the notice the process is killed
  * @param sockets how many descriptors it may hold
  * @param settings what the node decides by, as the plain map that the simulator gives too
+ * @param meaning the same and all else, entry by entry
+ * @param doubts what is unlikely to be meant, though a node can serve with it
  */
 public record NodeConfig(
         String name,
@@ -32,13 +41,18 @@
         long seed,
         Span stop,
         int sockets,
-        Map<String, String> settings) {
+        Map<String, String> settings,
+        Meaning meaning,
+        List<Fault> doubts) {
+
+    private static final String SETTINGS = "settings.";
+    private static final Pattern PLACE = Pattern.compile("\\.\\d{1,6}\\.");
 
     /** The configuration can't be used; the message is one line. */
     public static final class Unusable extends Exception {
         private static final long serialVersionUID = 1L;
 
-        Unusable(String message) {
+        public Unusable(String message) {
             super(message);
         }
     }
@@ -55,90 +69,90 @@
         if (!read.isJsonObject()) {
             throw new Unusable("the configuration " + file + " is no JSON object");
         }
-        JsonObject all = read.getAsJsonObject();
-        if (!all.has("settings") || !all.get("settings").isJsonObject()) {
-            throw new Unusable("the configuration has no object 'settings'");
-        }
-        JsonObject limits = all.has("limits") && all.get("limits").isJsonObject()
-                ? all.getAsJsonObject("limits") : new JsonObject();
-        Map<String, String> settings = new TreeMap<>();
-        flatten("", all.get("settings"), settings);
-        if (settings.getOrDefault("services.count", "0").equals("0")) {
-            throw new Unusable("the settings have no 'services'");
-        }
-        return new NodeConfig(text(all, "name"), address(all, "listen"), address(all, "executor"),
-                address(all, "index"), address(all, "naming"), seed(text(all, "seed")),
-                Span.ofSeconds(number(all, "stop_ms") / 1000), (int) number(limits, "sockets"), settings);
+        Map<String, String> flat = new TreeMap<>();
+        flatten("", read, flat);
+        List<Fault> faults = new ArrayList<>();
+        Meaning meaning = Meaning.of(flat, faults);
+        faults.addAll(Checks.of(meaning, faults));
+        faults.addAll(unknown(flat));
+        return of(flat, meaning, faults);
     }
 
-    /** The entries, joined by commas, that differ here and that a node can't change while it runs. */
-    String fixedEntriesUnlike(NodeConfig other) {
-        StringJoiner names = new StringJoiner(", ");
-        if (!name.equals(other.name)) {
-            names.add("name");
-        }
-        if (!listen.equals(other.listen)) {
-            names.add("listen");
-        }
-        if (seed != other.seed) {
-            names.add("seed");
-        }
-        if (!stop.equals(other.stop)) {
-            names.add("stop_ms");
-        }
-        if (sockets != other.sockets) {
-            names.add("limits");
-        }
-        if (!settings.equals(other.settings)) {
-            names.add("settings");
-        }
-        return names.toString();
+    /** Of one that is right in all its entries. */
+    public static NodeConfig of(Meaning meaning) throws Unusable {
+        return of(meaning.flat(), meaning, List.of());
     }
 
-    private static String text(JsonObject object, String name) throws Unusable {
-        JsonElement value = object.get(name);
-        if (value == null || !value.isJsonPrimitive() || value.getAsString().isEmpty()) {
-            throw new Unusable("the configuration has no '" + name + "'");
+    /** This one with other values, where they differ; what is the same keeps the form in which it came. */
+    public NodeConfig with(Meaning next) throws Unusable {
+        Map<String, String> flat = new TreeMap<>(meaning.flat());
+        settings.forEach((key, kept) -> flat.put("settings." + key, kept));
+        for (Entry entry : Schema.all()) {
+            for (String name : next.named(entry)) {
+                String value = next.value(name);
+                if (!Objects.equals(value, meaning.value(name)) && !entry.isInPlainList()) {
+                    if (value == null) {
+                        flat.remove(meaning.key(name));
+                    } else {
+                        flat.put(meaning.key(name), Meaning.kept(name, value));
+                    }
+                }
+            }
         }
-        return value.getAsString();
+        return of(flat, next, doubts);
     }
 
-    private static double number(JsonObject object, String name) throws Unusable {
-        String text = text(object, name);
-        try {
-            double number = Double.parseDouble(text);
-            if (number > 0 && number <= Integer.MAX_VALUE) {
-                return number;
-            }
-        } catch (NumberFormatException e) {
-            // said below, as for a number that can't be used
+    private static NodeConfig of(Map<String, String> flat, Meaning meaning, List<Fault> faults) throws Unusable {
+        StringJoiner certain = new StringJoiner("; ");
+        faults.stream().filter(Fault::certain).forEach(fault -> certain.add(said(fault)));
+        if (certain.length() > 0) {
+            throw new Unusable("the configuration can't be used: " + certain);
         }
-        throw new Unusable("'" + name + "' in the configuration is no number above 0: " + text);
+        Map<String, String> settings = new TreeMap<>();
+        flat.forEach((key, kept) -> {
+            if (key.startsWith(SETTINGS)) {
+                settings.put(key.substring(SETTINGS.length()), kept);
+            }
+        });
+        return new NodeConfig(flat.get("name"), address(flat, "listen"), address(flat, "executor"),
+                address(flat, "index"), address(flat, "naming"), Long.parseUnsignedLong(flat.get("seed"), 16),
+                new Span(meaning.number("stop", null).longValue()),
+                meaning.number("limits descriptors", null).intValue(), settings, meaning, List.copyOf(faults));
+    }
+
+    /** A fault of a JSON file, whose entries have no place in lines. */
+    private static String said(Fault fault) {
+        return fault.text() + (fault.instead().isEmpty() ? "" : " (" + fault.instead() + ")");
     }
 
-    private static long seed(String text) throws Unusable {
-        try {
-            return Long.parseUnsignedLong(text, 16);
-        } catch (NumberFormatException e) {
-            throw new Unusable("'seed' in the configuration is no hexadecimal number: " + text);
+    /** The doubts in one line, or null. */
+    public String doubtful() {
+        return doubts.isEmpty() ? null : doubts.stream().map(NodeConfig::said).collect(Collectors.joining("; "));
+    }
+
+    /** Entries that no node reads: a later platform may have more, or a name is misspelled. */
+    private static List<Fault> unknown(Map<String, String> flat) {
+        List<Fault> unknown = new ArrayList<>();
+        for (String key : flat.keySet()) {
+            String general = PLACE.matcher(key).replaceFirst(".#.");
+            boolean known = Schema.keyed(key) != null || Schema.keyed(general) != null
+                    || Schema.keyed(key + ".#") != null || key.endsWith(".count") || general.endsWith(".#.name");
+            if (!known) {
+                unknown.add(new Fault(key, "nothing reads the entry " + key, "", false));
+            }
         }
+        return unknown;
     }
 
-    private static InetSocketAddress address(JsonObject object, String name) throws Unusable {
-        String text = text(object, name);
+    private static InetSocketAddress address(Map<String, String> flat, String name) throws Unusable {
+        String text = flat.get(name);
         int colon = text.lastIndexOf(':');
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && port > 0 && port < 1 << 16) {
-                InetSocketAddress address = new InetSocketAddress(text.substring(0, colon), port);
-                if (!address.isUnresolved()) {
-                    return address;
-                }
-            }
-        } catch (NumberFormatException e) {
-            // said below, as for a port that can't be used
+        InetSocketAddress address =
+                new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        if (address.isUnresolved()) {
+            throw new Unusable("'" + name + "' in the configuration names a host that isn't known: " + text);
         }
-        throw new Unusable("'" + name + "' in the configuration is no address and port: " + text);
+        return address;
     }
 
     /** Names joined by dots; plain lists joined by commas; lists of objects numbered, with their count. */
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -1,14 +1,20 @@
 package lupinwood.net;
 
 import java.io.IOException;
+import java.math.BigDecimal;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import lupinwood.core.Deadlines;
 import lupinwood.core.Host;
 import lupinwood.log.Log;
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
+import lupinwood.reload.Plan;
+import lupinwood.settings.Change;
 
 /** One real node: its sockets, its deciding thread, and how it leaves. */
 public final class Serving {
@@ -23,9 +29,21 @@
     private static final Span TIME_TO_CLOSE = Span.ofSeconds(0.2);
     /** Before the stop, the process is gone by itself. */
     private static final Span BEFORE_STOP = Span.ofSeconds(0.2);
+    /** The deciding thread takes a step well within this many seconds; past it, it is stuck. */
+    private static final long LONGEST_STEP = 30;
     private static final Span FIGURES_EVERY = Span.ofSeconds(10);
 
-    private final NodeConfig config;
+    /** What the node goes by. Changed by one reload at a time, never by the deciding thread. */
+    private volatile NodeConfig config;
+    /** What stands open, told by the deciding thread. */
+    public String figures() {
+        CompletableFuture<String> told = new CompletableFuture<>();
+        decider.tell(() -> told.complete(host.figures()));
+        return told.completeOnTimeout("", LONGEST_STEP, TimeUnit.SECONDS).join();
+    }
+
+    /** Where the executor last said WELCOME; another than the configured one while a move there failed. */
+    private volatile InetSocketAddress executorAt;
     private final Host.Maker maker;
     private final Log log;
     private final Deadlines deadlines = new Deadlines();
@@ -47,7 +65,7 @@
         sockets = new Sockets(log);
         listener = new DispatcherListener(decider, deadlines, log);
         Means means = new Means(sockets, decider, deadlines, log);
-        executor = new ExecutorLink(config.executor(), means);
+        executor = new ExecutorLink(config.executor(), at -> executorAt = at, means);
         index = new IndexLink(config.index(), means);
         naming = new NamingReporter(config.naming(), config.name(), means);
         int connections = Math.max(config.sockets() / 2 + 1, config.sockets() - OWN_DESCRIPTORS);
@@ -82,19 +100,71 @@
         deadlines.at(host.now().plus(FIGURES_EVERY), this::tellFigures);
     }
 
-    /** Moves to the addresses of a configuration read anew; one step of the deciding thread. */
-    public void reload(NodeConfig next) {
-        String fixed = next.fixedEntriesUnlike(config);
-        if (!fixed.isEmpty()) {
-            log.line("can't change while the node runs, and stays as it was: " + fixed);
+    /**
+     * Takes over a configuration read anew, as far as a node that runs can. All that may fail happens before the
+     * step, on the caller's thread; the step itself is one of the deciding thread, and tells whether it was taken.
+     * One caller at a time.
+     */
+    public Plan reload(NodeConfig next) {
+        Plan plan = Plan.between(config.meaning(), next.meaning());
+        plan.steps().forEach(step -> log.line((plan.isRefused() ? "not reloaded: " : "reload: ") + step.said()
+                + (step.change() == Change.REFUSED ? ", since " + step.because() : "")));
+        if (plan.isRefused()) {
+            log.line("nothing reloaded: " + plan.steps().stream().filter(s -> s.change() == Change.REFUSED)
+                    .map(Plan.Step::name).collect(Collectors.joining(", ")) + " can't change while the node runs");
+            return plan;
         }
+        NodeConfig now;
+        try {
+            now = config.with(plan.result());
+        } catch (NodeConfig.Unusable e) {
+            log.line("nothing reloaded: " + e.getMessage());
+            return plan;
+        }
+        Host.Tuning tuning = new Host.Tuning(now.settings());
+        CompletableFuture<Boolean> step = new CompletableFuture<>();
         decider.tell(() -> {
-            log.line("reloaded: executor " + next.executor() + ", index " + next.index()
-                    + ", naming " + next.naming());
-            executor.moveTo(next.executor());
-            index.moveTo(next.index());
-            naming.moveTo(next.naming());
+            try {
+                step.complete(takeOver(now, tuning));
+            } finally {
+                step.complete(false); // counts only where the line before didn't get there
+            }
         });
+        boolean taken = step.completeOnTimeout(false, LONGEST_STEP, TimeUnit.SECONDS).join();
+        if (taken) {
+            config = now;
+        }
+        String stays = plan.steps().stream().filter(s -> s.change() == Change.RESTART).map(Plan.Step::name)
+                .collect(Collectors.joining(", "));
+        if (!stays.isEmpty()) {
+            log.line("can't change while the node runs, and stays as it was: " + stays);
+        }
+        log.line(taken ? "reloaded: executor " + now.executor() + ", index " + now.index() + ", naming "
+                + now.naming() + (plan.isEmpty() ? "; nothing changed" : "")
+                : "nothing reloaded: the node was told to leave");
+        return plan;
+    }
+
+    /** The step. Nothing in it can fail for what the configuration says. */
+    private boolean takeOver(NodeConfig now, Host.Tuning tuning) {
+        if (!host.retune(tuning)) {
+            return false;
+        }
+        long within = now.meaning().number("moves welcome-within", BigDecimal.ZERO).longValue();
+        executor.moveTo(now.executor(), new Span(within));
+        index.moveTo(now.index());
+        naming.moveTo(now.naming());
+        return true;
+    }
+
+    /** What the node goes by: the last configuration that was taken over, in what can change while it runs. */
+    public NodeConfig goesBy() {
+        return config;
+    }
+
+    /** Where the executor last said WELCOME; null before. */
+    public InetSocketAddress executorAt() {
+        return executorAt;
     }
 
     /**
@@ -104,20 +174,21 @@
      */
     public void leave() throws InterruptedException {
         log.line("told to leave");
+        Span stop = config.stop();
         decider.tell(() -> {
-            host.leave(config.stop());
+            host.leave(stop);
             naming.leave();
-            Moment last = host.now().plus(config.stop().minus(BEFORE_STOP).minus(TIME_TO_CLOSE));
+            Moment last = host.now().plus(stop.minus(BEFORE_STOP).minus(TIME_TO_CLOSE));
             lookUntil(last, () -> host.isAnswered() && QUIET.compareTo(host.sinceLastTicket()) < 0, quiet);
         });
-        quiet.await(config.stop().nanos(), TimeUnit.NANOSECONDS);
+        quiet.await(stop.nanos(), TimeUnit.NANOSECONDS);
         sockets.stopListening();
         decider.tell(() -> {
             host.closeConnections();
             lookUntil(host.now().plus(TIME_TO_CLOSE),
                     () -> host.isAnswered() && host.connectionCount() == 0, left);
         });
-        left.await(config.stop().nanos(), TimeUnit.NANOSECONDS);
+        left.await(stop.nanos(), TimeUnit.NANOSECONDS);
         decider.stop();
         sockets.dispose();
         log.line("left");
--- /dev/null
+++ b/src/main/java/lupinwood/reload/Plan.java
@@ -0,0 +1,130 @@
+package lupinwood.reload;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import lupinwood.settings.Change;
+import lupinwood.settings.Entry;
+import lupinwood.settings.Meaning;
+import lupinwood.settings.Schema;
+
+/**
+ * What a configuration changes in a node that runs under another one, entry by entry, and what the node is to go by
+ * afterwards. The same plan is shown by {@code config diff}, carried out on SIGHUP and told by the log.
+ *
+ * @param steps what differs, in the order of the schema
+ * @param result what the node goes by once the steps that count while it runs are taken; the old meaning where one
+ *     of them is refused
+ */
+public record Plan(List<Step> steps, Meaning result) {
+    /**
+     * One difference.
+     *
+     * @param name the entry, or a whole track or customer that came or went
+     * @param before null where it came
+     * @param after null where it went
+     * @param because why no sooner, or why it is safe
+     */
+    public record Step(String name, String before, String after, Change change, String because) {
+        /** For people, in one line. */
+        public String said() {
+            String what;
+            if (before == null) {
+                what = "added " + name + said(after);
+            } else if (after == null) {
+                what = "removed " + name + said(before);
+            } else {
+                what = name + " " + Meaning.said(name, before) + " -> " + Meaning.said(name, after);
+            }
+            return what + ", " + change.said();
+        }
+
+        private String said(String value) {
+            return value.isEmpty() ? "" : " " + Meaning.said(name, value);
+        }
+    }
+
+    private static final String LAID_OUT = "the node's tables are laid out for it at the start";
+
+    /** What changes from the old to the next. */
+    public static Plan between(Meaning old, Meaning next) {
+        List<Step> steps = new ArrayList<>();
+        Set<String> names = new LinkedHashSet<>(old.values().keySet());
+        names.addAll(next.values().keySet());
+        lists(Schema.CUSTOMER, old.customers(), next.customers(), steps);
+        lists(Schema.TRACK, old.tracks(), next.tracks(), steps);
+        for (String name : Meaning.ordered(old.tracks(), old.customers(), all(names)).keySet()) {
+            String before = old.value(name);
+            String after = next.value(name);
+            if (!Objects.equals(before, after) && isInBoth(name, old, next)) {
+                steps.add(step(name, before, after));
+            }
+        }
+        Map<String, String> values = new LinkedHashMap<>(old.values());
+        for (Step step : steps) {
+            if (step.change() != Change.RESTART && step.after() != null) {
+                values.put(step.name(), step.after());
+            } else if (step.change() != Change.RESTART) {
+                values.remove(step.name());
+            }
+        }
+        boolean refused = steps.stream().anyMatch(step -> step.change() == Change.REFUSED);
+        Meaning result = refused ? old : new Meaning(old.tracks(), old.customers(),
+                Meaning.ordered(old.tracks(), old.customers(), values));
+        return new Plan(List.copyOf(steps), result);
+    }
+
+    private static Map<String, String> all(Set<String> names) {
+        Map<String, String> all = new LinkedHashMap<>();
+        names.forEach(name -> all.put(name, ""));
+        return all;
+    }
+
+    /** Items that came or went as a whole give one step each; their entries give none. */
+    private static void lists(String list, List<String> old, List<String> next, List<Step> steps) {
+        for (String item : old) {
+            if (!next.contains(item)) {
+                steps.add(new Step(list + " " + item, "", null, Change.RESTART, LAID_OUT));
+            }
+        }
+        for (String item : next) {
+            if (!old.contains(item)) {
+                steps.add(new Step(list + " " + item, null, "", Change.RESTART, LAID_OUT));
+            }
+        }
+    }
+
+    private static boolean isInBoth(String name, Meaning old, Meaning next) {
+        Entry entry = Meaning.entry(name);
+        if (entry == null || entry.list().isEmpty()) {
+            return true;
+        }
+        String item = name.split(" ")[1];
+        boolean track = entry.list().equals(Schema.TRACK);
+        return (track ? old.tracks() : old.customers()).contains(item)
+                && (track ? next.tracks() : next.customers()).contains(item);
+    }
+
+    private static Step step(String name, String before, String after) {
+        Entry entry = Meaning.entry(name);
+        return entry == null ? new Step(name, before, after, Change.RESTART, "this build knows nothing of it")
+                : new Step(name, before, after, entry.change(), entry.because());
+    }
+
+    public boolean isEmpty() {
+        return steps.isEmpty();
+    }
+
+    public boolean isRefused() {
+        return steps.stream().anyMatch(step -> step.change() == Change.REFUSED);
+    }
+
+    /** Whether anything counts without a restart. */
+    public boolean takesEffect() {
+        return !isRefused() && steps.stream().anyMatch(step -> step.change() != Change.RESTART);
+    }
+}
--- a/src/main/java/lupinwood/reload/Triggers.java
+++ b/src/main/java/lupinwood/reload/Triggers.java
@@ -66,6 +66,11 @@
         next = now;
     }
 
+    /** Whether no signal waits for its answer. */
+    public boolean isAtRest() {
+        return !asked;
+    }
+
     /** When to look next; {@link Moment#NEVER} where only a signal can be the reason. */
     public Moment next() {
         return next;
--- /dev/null
+++ b/src/main/java/lupinwood/settings/Checks.java
@@ -0,0 +1,212 @@
+package lupinwood.settings;
+
+import java.math.BigDecimal;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What must hold of a meaning as a whole: bounds, what is needed, and what fits together. */
+public final class Checks {
+    /** Links and the process itself need as many descriptors at the least, with a few left for dispatchers. */
+    private static final int LEAST_DESCRIPTORS = 32;
+    /** Tables, receipts and the JVM itself, in bytes. */
+    private static final long LEAST_MEMORY = 28_000_000;
+    private static final BigDecimal SHARE_SLACK = new BigDecimal("0.005");
+
+    private final Meaning meaning;
+    private final List<Fault> faults = new ArrayList<>();
+    /** Entries that are known to be wrong already: one mistake gives one message. */
+    private final Set<String> wrong = new HashSet<>();
+
+    private Checks(Meaning meaning, List<Fault> known) {
+        this.meaning = meaning;
+        known.forEach(fault -> wrong.add(fault.name()));
+    }
+
+    /** What is wrong besides the faults that are known. */
+    public static List<Fault> of(Meaning meaning, List<Fault> known) {
+        Checks checks = new Checks(meaning, known);
+        checks.bounds();
+        checks.needed();
+        checks.lists();
+        checks.sums();
+        checks.tracks();
+        checks.addresses();
+        checks.limits();
+        return checks.faults;
+    }
+
+    private void fault(String name, String text, String instead, boolean certain) {
+        if (wrong.add(name)) {
+            faults.add(new Fault(name, text, instead, certain));
+        }
+    }
+
+    private boolean isSound(String name) {
+        return meaning.value(name) != null && !wrong.contains(name);
+    }
+
+    private BigDecimal number(String name) {
+        return meaning.number(name, null);
+    }
+
+    private String said(String name) {
+        return Meaning.said(name, meaning.value(name));
+    }
+
+    private void bounds() {
+        meaning.values().forEach((name, value) -> {
+            Entry entry = Meaning.entry(name);
+            if (entry == null || !entry.kind().isNumber() || entry.least() == null || wrong.contains(name)) {
+                return;
+            }
+            BigDecimal number = new BigDecimal(value);
+            String bounds = "write a value from " + Values.said(entry, Values.plain(entry.least())) + " to "
+                    + Values.said(entry, Values.plain(entry.most()));
+            if (number.compareTo(entry.least()) < 0) {
+                fault(name, said(name) + " is too little for " + name, bounds, true);
+            } else if (number.compareTo(entry.most()) > 0) {
+                fault(name, said(name) + " is too much for " + name, bounds, true);
+            } else if (entry.kind() == Kind.COUNT && number.stripTrailingZeros().scale() > 0) {
+                fault(name, said(name) + " is no whole number", "write a whole number, as 2", true);
+            }
+        });
+    }
+
+    private void needed() {
+        for (Entry entry : Schema.all()) {
+            if (!entry.required()) {
+                continue;
+            }
+            if (entry.list().isEmpty()) {
+                need(entry.name(), "");
+            } else if (entry.list().equals(Schema.TRACK)) {
+                meaning.tracks().forEach(track -> need("track " + track + " " + entry.own(), " of track " + track));
+            }
+        }
+        if (meaning.tracks().isEmpty()) {
+            fault("", "there is no track, so no ticket could be taken", "add a track with its effect, agreed-time"
+                    + " and abandon-time", true);
+        }
+    }
+
+    private void need(String name, String of) {
+        if (meaning.value(name) == null) {
+            Entry entry = Meaning.entry(name);
+            fault(name, "'" + entry.own() + "'" + of + " is missing", "add " + entry.own() + ": "
+                    + (entry.saidAs().isEmpty() ? entry.kind().wanted() : "one of "
+                    + String.join(", ", entry.saidAs())), true);
+        }
+    }
+
+    private void lists() {
+        twice("track", meaning.tracks());
+        twice("customer", meaning.customers());
+    }
+
+    private void twice(String list, List<String> names) {
+        Set<String> seen = new HashSet<>();
+        for (String name : names) {
+            if (!seen.add(name)) {
+                fault(list + " " + name, "there are two entries '" + list + " " + name + "'",
+                        "give each " + list + " a name of its own", true);
+            }
+        }
+    }
+
+    private void sums() {
+        Map<String, BigDecimal> shares = new LinkedHashMap<>();
+        for (String customer : meaning.customers()) {
+            String name = "customer " + customer + " share";
+            if (isSound(name)) {
+                shares.put(name, number(name));
+            }
+        }
+        if (shares.size() == meaning.customers().size()) {
+            sum("the customers' shares", shares);
+        }
+        Map<String, BigDecimal> goal = new LinkedHashMap<>();
+        for (String part : List.of("whole", "worst-track", "worst-customer", "worst-window")) {
+            if (isSound("goal " + part)) {
+                goal.put("goal " + part, number("goal " + part));
+            }
+        }
+        sum("the parts of the goal", goal);
+    }
+
+    private void sum(String what, Map<String, BigDecimal> parts) {
+        BigDecimal sum = parts.values().stream().reduce(BigDecimal.ZERO, BigDecimal::add);
+        if (!parts.isEmpty() && sum.subtract(BigDecimal.ONE).abs().compareTo(SHARE_SLACK) > 0) {
+            String last = parts.keySet().stream().reduce((a, b) -> b).orElse("");
+            BigDecimal fits = parts.get(last).add(BigDecimal.ONE.subtract(sum));
+            String percent = Values.plain(sum.movePointRight(2)) + "%";
+            fault(last, what + " make " + percent + ", not 100%", fits.signum() < 0 ? "lower them until they make 100%"
+                    : "write " + Values.plain(fits.movePointRight(2)) + "% here, or change the others", false);
+        }
+    }
+
+    private void tracks() {
+        for (String track : meaning.tracks()) {
+            String at = "track " + track + " ";
+            String agreed = at + "agreed-time";
+            String abandon = at + "abandon-time";
+            String window = at + "window";
+            if (isSound(agreed) && isSound(abandon) && number(agreed).compareTo(number(abandon)) > 0) {
+                fault(agreed, "the agreed time " + said(agreed) + " is past the abandon time " + said(abandon)
+                        + " of track " + track, "write a time up to " + said(abandon), true);
+            }
+            if (isSound(abandon) && isSound("step") && number("step").multiply(new BigDecimal(4))
+                    .compareTo(number(abandon)) > 0) {
+                fault("step", "the step " + said("step") + " leaves no time to answer a ticket of track " + track
+                        + " within " + said(abandon), "write a quarter of the shortest abandon-time or less", true);
+            }
+            boolean receipted = "receipted".equals(meaning.value(at + "effect"));
+            if (receipted && meaning.value(window) == null) {
+                fault(window, "the receipted track " + track + " has no window, so a repeat could run twice",
+                        "add window: a time with its unit, no shorter than abandon-time", false);
+            } else if (receipted && isSound(window) && isSound(abandon)
+                    && number(window).compareTo(number(abandon)) < 0) {
+                fault(window, "the window " + said(window) + " is shorter than the abandon time " + said(abandon)
+                        + " of receipted track " + track, "write " + said(abandon) + " or more", false);
+            }
+            if ("true".equals(meaning.value(at + "calls")) && "nothing".equals(meaning.values()
+                    .getOrDefault("machine below", "nothing"))) {
+                fault(at + "calls", "tickets of track " + track + " may call, but there is nothing below to call",
+                        "write #false, or say in machine what is below", false);
+            }
+        }
+    }
+
+    private void addresses() {
+        Map<String, String> first = new HashMap<>();
+        for (String name : List.of("listen", "executor", "index", "naming")) {
+            String other = isSound(name) ? first.putIfAbsent(meaning.value(name), name) : null;
+            if (other != null) {
+                fault(name, name + " has the address of " + other + ", " + meaning.value(name),
+                        "give each its own address", other.equals("listen"));
+            }
+        }
+    }
+
+    private void limits() {
+        String descriptors = "limits descriptors";
+        if (isSound(descriptors) && number(descriptors).intValue() < LEAST_DESCRIPTORS) {
+            fault(descriptors, said(descriptors) + " descriptors leave none for calls and dispatchers",
+                    "write " + LEAST_DESCRIPTORS + " or more", true);
+        }
+        String memory = "limits memory";
+        if (isSound(memory) && number(memory).longValue() < LEAST_MEMORY) {
+            fault(memory, said(memory) + " are too little for the node's own tables", "write 28MB or more", false);
+        }
+        String held = "machine memory";
+        String entry = "machine entry-memory";
+        if (isSound(held) && isSound(entry) && number(entry).compareTo(number(held)) > 0) {
+            fault(entry, "one receipt takes " + said(entry) + ", more than the machine's " + said(held),
+                    "write less than " + said(held), false);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/settings/Entry.java
@@ -0,0 +1,62 @@
+package lupinwood.settings;
+
+import java.math.BigDecimal;
+import java.util.List;
+
+/**
+ * One entry that a node can be told.
+ *
+ * @param name our name, its words apart by spaces; {@code *} stands for the name of a list's item
+ * @param key where the platform's JSON has it, with dots; {@code #} stands for the place of a list's item, at the
+ *     end for an item of a list of plain values
+ * @param least the smallest value allowed, in the unit in which it is kept; null without a bound
+ * @param most the greatest value allowed
+ * @param words the words allowed, as kept; empty where any will do
+ * @param saidAs the same words as we write them
+ * @param required whether a node can't do without it
+ * @param otherwise what counts where it is absent, in words
+ * @param change when a changed value counts
+ * @param because why no sooner
+ * @param meaning one sentence
+ */
+public record Entry(
+        String name,
+        String key,
+        Kind kind,
+        BigDecimal least,
+        BigDecimal most,
+        List<String> words,
+        List<String> saidAs,
+        boolean required,
+        String otherwise,
+        Change change,
+        String because,
+        String meaning) {
+
+    /** The list that it belongs to, as {@code track}; empty for one that stands alone. */
+    public String list() {
+        int star = name.indexOf(" * ");
+        return star < 0 ? "" : name.substring(0, star);
+    }
+
+    /** Whether the JSON keeps it in a plain list beside the list of items. */
+    public boolean isInPlainList() {
+        return key.endsWith(".#");
+    }
+
+    /** Its last word. */
+    public String own() {
+        return name.substring(name.lastIndexOf(' ') + 1);
+    }
+
+    /** A word as the JSON has it, for one as we write it; null where there is none. */
+    public String kept(String said) {
+        int place = saidAs.indexOf(said);
+        return place < 0 ? null : words.get(place);
+    }
+
+    public String said(String kept) {
+        int place = words.indexOf(kept);
+        return place < 0 ? kept : saidAs.get(place);
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/settings/Meaning.java
@@ -0,0 +1,217 @@
+package lupinwood.settings;
+
+import java.math.BigDecimal;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * What a configuration says, whatever language said it: a value for each entry, by its name with the items' own
+ * names in it, as {@code track unlock window}. Two configurations mean the same just when their values are equal.
+ *
+ * @param tracks in their order, which numbers them
+ * @param values as {@link Values} reads them, in the order of the schema
+ */
+public record Meaning(List<String> tracks, List<String> customers, Map<String, String> values) {
+    private static final Pattern ITEM = Pattern.compile("settings\\.(services|customers)\\.(\\d{1,6})\\.(.+)");
+    private static final Pattern PLACE = Pattern.compile("\\.\\d{1,6}\\.");
+
+    public Meaning {
+        tracks = List.copyOf(tracks);
+        customers = List.copyOf(customers);
+        values = Collections.unmodifiableMap(new LinkedHashMap<>(values));
+    }
+
+    public String value(String name) {
+        return values.get(name);
+    }
+
+    /** The names that an entry of the schema has here, one for each item of its list. */
+    public List<String> named(Entry entry) {
+        if (entry.list().isEmpty()) {
+            return List.of(entry.name());
+        }
+        List<String> items = entry.list().equals(Schema.TRACK) ? tracks : customers;
+        return items.stream().map(item -> entry.list() + " " + item + " " + entry.own()).toList();
+    }
+
+    /** As a number, in the unit that values have; otherwise this. */
+    public BigDecimal number(String name, BigDecimal otherwise) {
+        String value = values.get(name);
+        return value == null ? otherwise : new BigDecimal(value);
+    }
+
+    /** The entry of a name with an item's name in it, or null. */
+    public static Entry entry(String name) {
+        Entry direct = Schema.named(name);
+        if (direct != null) {
+            return direct;
+        }
+        String[] words = name.split(" ");
+        return words.length == 3 ? Schema.named(words[0] + " * " + words[2]) : null;
+    }
+
+    /** A value as the language writes it. */
+    public static String said(String name, String value) {
+        Entry entry = entry(name);
+        return value == null ? "nothing" : entry == null ? value : Values.said(entry, value);
+    }
+
+    /** What the JSON's flat map says; what is wrong with it goes to the faults. */
+    public static Meaning of(Map<String, String> flat, List<Fault> faults) {
+        List<String> tracks = names(flat, "services");
+        List<String> customers = names(flat, "customers");
+        Map<String, String> found = new TreeMap<>();
+        flat.forEach((key, kept) -> {
+            if (key.startsWith("settings.") && key.endsWith(".count") || isItemsName(key)) {
+                return;
+            }
+            Entry plain = Schema.keyed(key + ".#");
+            if (plain != null) {
+                String[] items = kept.split(",");
+                for (int i = 0; i < items.length && i < tracks.size() && !kept.isEmpty(); i++) {
+                    put(plain, "track " + tracks.get(i) + " " + plain.own(), items[i], found, faults);
+                }
+                return;
+            }
+            Matcher item = ITEM.matcher(key);
+            Entry entry = Schema.keyed(PLACE.matcher(key).replaceFirst(".#."));
+            if (entry != null && item.matches()) {
+                List<String> names = item.group(1).equals("services") ? tracks : customers;
+                int place = Integer.parseInt(item.group(2));
+                put(entry, entry.list() + " " + names.get(place) + " " + entry.own(), kept, found, faults);
+            } else if (entry != null) {
+                put(entry, entry.name(), kept, found, faults);
+            } else if (key.startsWith("settings.")) {
+                found.put(Schema.EXTRA + " " + key.substring("settings.".length()), kept);
+            }
+        });
+        return new Meaning(tracks, customers, ordered(tracks, customers, found));
+    }
+
+    private static boolean isItemsName(String key) {
+        Matcher item = ITEM.matcher(key);
+        return item.matches() && item.group(3).equals("name");
+    }
+
+    private static List<String> names(Map<String, String> flat, String list) {
+        List<String> names = new ArrayList<>();
+        String count = flat.getOrDefault("settings." + list + ".count", "0");
+        for (int i = 0; i < Integer.parseInt(count); i++) {
+            names.add(flat.getOrDefault("settings." + list + "." + i + ".name", "unnamed-" + i));
+        }
+        return names;
+    }
+
+    private static void put(Entry entry, String name, String kept, Map<String, String> found, List<Fault> faults) {
+        String value = Values.read(entry, kept);
+        if (value == null) {
+            faults.add(new Fault(name, "this is not what " + name + " takes: " + kept, wanted(entry), true));
+        } else {
+            found.put(name, value);
+        }
+    }
+
+    /** What to write for an entry. */
+    public static String wanted(Entry entry) {
+        return "write " + (entry.saidAs().isEmpty() ? entry.kind().wanted()
+                : "one of: " + String.join(", ", entry.saidAs()));
+    }
+
+    /** Whether it is a host and a port. */
+    public static boolean isAddress(String text) {
+        return Values.isAddress(text);
+    }
+
+    /** In the order of the schema, items in their own; entries without a name last. */
+    public static Map<String, String> ordered(List<String> tracks, List<String> customers,
+            Map<String, String> found) {
+        Map<String, String> in = new LinkedHashMap<>();
+        for (Entry entry : Schema.all()) {
+            if (entry.list().isEmpty()) {
+                take(entry.name(), found, in);
+            }
+        }
+        for (String list : List.of(Schema.CUSTOMER, Schema.TRACK)) {
+            for (String item : list.equals(Schema.TRACK) ? tracks : customers) {
+                for (Entry entry : Schema.all()) {
+                    if (entry.list().equals(list)) {
+                        take(list + " " + item + " " + entry.own(), found, in);
+                    }
+                }
+            }
+        }
+        new TreeMap<>(found).forEach(in::putIfAbsent);
+        return in;
+    }
+
+    private static void take(String name, Map<String, String> from, Map<String, String> to) {
+        if (from.containsKey(name)) {
+            to.put(name, from.get(name));
+        }
+    }
+
+    /** As the JSON's flat map has it, which is what a node is made from. */
+    public Map<String, String> flat() {
+        Map<String, String> flat = new TreeMap<>();
+        count(flat, "services", tracks);
+        count(flat, "customers", customers);
+        values.forEach((name, value) -> {
+            Entry entry = entry(name);
+            if (entry == null) {
+                flat.put("settings." + name.substring(Schema.EXTRA.length() + 1), value);
+            } else if (!entry.isInPlainList()) {
+                flat.put(key(name), Values.write(entry, value));
+            }
+        });
+        for (Entry entry : Schema.all()) {
+            if (entry.isInPlainList()) {
+                plainList(entry, flat);
+            }
+        }
+        return flat;
+    }
+
+    private static void count(Map<String, String> flat, String list, List<String> names) {
+        if (!names.isEmpty()) {
+            flat.put("settings." + list + ".count", Integer.toString(names.size()));
+        }
+        for (int i = 0; i < names.size(); i++) {
+            flat.put("settings." + list + "." + i + ".name", names.get(i));
+        }
+    }
+
+    private void plainList(Entry entry, Map<String, String> flat) {
+        List<String> items = new ArrayList<>();
+        boolean any = false;
+        for (String track : tracks) {
+            String value = values.get("track " + track + " " + entry.own());
+            any |= value != null;
+            items.add(value == null ? entry.kind() == Kind.FLAG ? "false" : "0" : Values.write(entry, value));
+        }
+        if (any) {
+            flat.put(entry.key().substring(0, entry.key().length() - 2), String.join(",", items));
+        }
+    }
+
+    /** Where the JSON's flat map has an entry, by the places of the items here. */
+    public String key(String name) {
+        Entry entry = entry(name);
+        if (entry.list().isEmpty()) {
+            return entry.key();
+        }
+        String item = name.split(" ")[1];
+        int place = (entry.list().equals(Schema.TRACK) ? tracks : customers).indexOf(item);
+        return entry.key().replace("#", Integer.toString(place));
+    }
+
+    /** The JSON's text of a value. */
+    public static String kept(String name, String value) {
+        return Values.write(entry(name), value);
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -0,0 +1,259 @@
+package lupinwood.settings;
+
+import static lupinwood.settings.Change.AT_ONCE;
+import static lupinwood.settings.Change.NEW_CONNECTIONS;
+import static lupinwood.settings.Change.NEW_TICKETS;
+import static lupinwood.settings.Change.REFUSED;
+import static lupinwood.settings.Change.RESTART;
+import static lupinwood.settings.Kind.ADDRESS;
+import static lupinwood.settings.Kind.COUNT;
+import static lupinwood.settings.Kind.FLAG;
+import static lupinwood.settings.Kind.HEX;
+import static lupinwood.settings.Kind.MEMORY_KB;
+import static lupinwood.settings.Kind.MEMORY_MB;
+import static lupinwood.settings.Kind.NUMBER;
+import static lupinwood.settings.Kind.RATE;
+import static lupinwood.settings.Kind.SHARE;
+import static lupinwood.settings.Kind.SPAN;
+import static lupinwood.settings.Kind.SPAN_MILLIS;
+import static lupinwood.settings.Kind.TEXT;
+import static lupinwood.settings.Kind.WORD;
+import static lupinwood.settings.Kind.WORDS;
+
+import java.math.BigDecimal;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** All entries, in the order in which they are written and explained. */
+public final class Schema {
+    public static final String TRACK = "track";
+    public static final String CUSTOMER = "customer";
+    /** The section of entries that this build has no name for; they reach the node as they are. */
+    public static final String EXTRA = "extra";
+    private static final String HOUR = "3600000000000";
+    private static final String DAY = "86400000000000";
+    private static final String FIXED = "the node's picture of its machine is built on it from the start";
+    private static final String JUDGED = "the decisions read it anew each time, and no rule hangs on it";
+
+    private static final List<Entry> ALL = new ArrayList<>();
+    private static final Map<String, Entry> BY_NAME = new LinkedHashMap<>();
+    private static final Map<String, Entry> BY_KEY = new LinkedHashMap<>();
+
+    private Schema() {}
+
+    static {
+        at("name", "name", TEXT).needed().change(RESTART, "the name service lists the node by it")
+                .says("The node's name, under which it reports to the name service.");
+        at("listen", "listen", ADDRESS).needed().change(RESTART, "dispatchers hold connections to it")
+                .says("Where dispatchers connect; the node listens on this address only.");
+        at("executor", "executor", ADDRESS).needed().change(AT_ONCE, "the link is handed over; runs go on")
+                .says("Where the executor listens, which carries out the tickets.");
+        at("index", "index", ADDRESS).needed().change(AT_ONCE, "calls that are out may still come back where they are")
+                .says("Where the index listens, to which tickets' calls go.");
+        at("naming", "naming", ADDRESS).needed().change(AT_ONCE, "the next report goes there")
+                .says("Where the name service listens.");
+        at("seed", "seed", HEX).needed().change(RESTART, "chance is drawn from it once")
+                .says("Where the node's chance begins; new with each start.");
+        at("stop", "stop_ms", SPAN_MILLIS).from("1000000", HOUR).needed()
+                .change(AT_ONCE, "it is read when the notice to leave comes; after that no configuration is taken over")
+                .says("How long after the notice to leave the process is killed.");
+        at("step", "settings.step_ns", SPAN).from("1000", "1000000000").needed().change(RESTART, FIXED)
+                .says("The shortest time between two looks at the clock that the node can count on.");
+        at("group-size", "settings.group_size", COUNT).from("1", "1000000").otherwise("1")
+                .change(AT_ONCE, "customers' shares of this node are reckoned anew from it")
+                .says("How many nodes share the traffic; a customer's quota is split among them.");
+        at("over-share-credit", "settings.over_share_worth", SHARE).from("0", "1").otherwise("100%")
+                .change(AT_ONCE, JUDGED)
+                .says("The part of its credit that a ticket beyond its customer's share is worth.");
+
+        at("limits cores", "limits.cores", NUMBER).from("0.001", "1024").otherwise("not told")
+                .change(RESTART, "the platform sets it").says("The cores that this process may use.");
+        at("limits memory", "limits.memory_mb", MEMORY_MB).from("16000000", "1000000000000").otherwise("not told")
+                .change(RESTART, "the JVM's heap has its size from the start")
+                .says("The memory that this process may use.");
+        at("limits descriptors", "limits.sockets", COUNT).from("1", "1000000").needed()
+                .change(RESTART, "tables are laid out for it").says("How many descriptors this process may hold.");
+
+        at("customer * share", "settings.customers.#.share", SHARE).from("0", "1").otherwise("not told")
+                .change(AT_ONCE, JUDGED).says("The customer's part of the service.");
+        at("customer * quota", "settings.customers.#.quota_rps", RATE).from("0", "1000000000")
+                .otherwise("none, so that nothing of it is beyond its share")
+                .change(AT_ONCE, "what is saved up of the old quota is cut to the new one")
+                .says("Tickets a second across all nodes that are within the customer's share.");
+
+        at("track * effect", "settings.services.#.effect", WORD)
+                .words("pure", "pure", "token", "receipted", "side_effect", "effectful").needed()
+                .change(REFUSED, "marks kept under the old effect would no longer stop a second run")
+                .says("What running a ticket of the track twice would do.");
+        at("track * credit", "settings.services.#.worth", NUMBER).from("0", "1000000000").otherwise("1")
+                .change(AT_ONCE, JUDGED).says("What a satisfied ticket of the track earns.");
+        at("track * late-value", "settings.services.#.late_value", SHARE).from("0", "1").otherwise("0%")
+                .change(AT_ONCE, JUDGED)
+                .says("The part of the credit that an answer after the agreed time earns.");
+        at("track * agreed-time", "settings.services.#.aim_ns", SPAN).from("1000000", DAY).needed()
+                .change(NEW_TICKETS, "a ticket's place in the order is fixed when it comes")
+                .says("How soon after it came a ticket's answer earns its full credit.");
+        at("track * agreed-stretch", "settings.services.#.aim_stretch", NUMBER).from("0", "1000").otherwise("0")
+                .change(NEW_TICKETS, "a ticket's place in the order is fixed when it comes")
+                .says("The agreed time grows by this multiple of a ticket's own work.");
+        at("track * abandon-time", "settings.services.#.give_up_ns", SPAN).from("1000000", DAY).needed()
+                .change(NEW_TICKETS, "a ticket in hand is owed its answer by the time it came under")
+                .says("How long after it came the caller gives a ticket up.");
+        at("track * window", "settings.services.#.window_ns", SPAN).from("0", DAY)
+                .otherwise("0s; a receipted track must have one")
+                .change(NEW_TICKETS, "a receipt in hand is kept for the window that it was promised")
+                .says("How long after it came a receipted ticket may come again and must not run twice.");
+        at("track * calls", "settings.domain.class_calls.#", FLAG).otherwise("#false")
+                .change(RESTART, "tickets in hand are counted by it").says("Whether its tickets may call the index.");
+        at("track * skip-credit", "settings.domain.class_skip_worth.#", SHARE).from("0", "1").otherwise("0%")
+                .change(RESTART, "calls in hand are cut by it")
+                .says("The part of the credit that an answer without its call earns.");
+
+        at("machine cores", "settings.domain.cpus", COUNT).from("1", "4096").otherwise("1").change(RESTART, FIXED)
+                .says("The executor's cores.");
+        at("machine memory", "settings.domain.memory_kb", MEMORY_KB).from("1000", "1000000000000000")
+                .otherwise("no bound").change(RESTART, FIXED).says("The memory in which tickets are held and run.");
+        at("machine entry-memory", "settings.domain.entry_kb", MEMORY_KB).from("0", "1000000000000")
+                .otherwise("0KB").change(RESTART, FIXED).says("The memory that one kept receipt takes.");
+        at("machine run-memory-factor", "settings.domain.run_mem_factor", NUMBER).from("1", "1000").otherwise("1")
+                .change(RESTART, FIXED).says("A running ticket takes this multiple of its memory.");
+        at("machine below", "settings.domain.below", WORD)
+                .words("off", "nothing", "one_for_all", "one-for-all", "tier", "tier").otherwise("nothing")
+                .change(RESTART, FIXED).says("What tickets call: nothing, one dependency of all nodes, or a next tier.");
+        at("machine upstreams", "settings.domain.upstreams", COUNT).from("0", "1000000000").otherwise("1")
+                .change(AT_ONCE, JUDGED).says("How many callers share this node's allowance.");
+        at("machine calls-out", "settings.domain.calls_out", NUMBER).from("0.000001", "1000000000")
+                .otherwise("no bound").change(RESTART, "calls in hand were let out under it")
+                .says("This node's part of the calls that the dependency survives, as a mean number in hand.");
+        at("machine calls-over", "settings.domain.calls_over_ns", SPAN).from("0", HOUR).otherwise("0s")
+                .change(RESTART, FIXED).says("The time over which calls in hand are averaged.");
+        at("machine linger", "settings.domain.linger_ns", SPAN).from("0", HOUR).otherwise("0s")
+                .change(RESTART, "calls given up are counted in hand by it")
+                .says("How long a call that was given up may stay in the dependency's hands.");
+        at("machine cold", "settings.domain.cold", FLAG).otherwise("#false; the executor's word replaces it")
+                .change(RESTART, "the executor tells it").says("Whether the executor was started just now.");
+        at("machine gauges", "settings.domain.gauges", WORDS).otherwise("none").change(RESTART, FIXED)
+                .says("What the executor's gauges are called, in their order.");
+        at("machine stop-mode", "settings.domain.stop_mode", WORD)
+                .words("off", "off", "discard", "discard", "freeze", "freeze").otherwise("off")
+                .change(RESTART, FIXED).says("Whether running work can be stopped, losing or keeping what was done.");
+        at("machine advice", "settings.domain.advert", WORD)
+                .words("off", "off", "floor", "floor", "allowance", "allowance", "weight", "weight").otherwise("off")
+                .change(RESTART, "callers hold on to the last value and its meaning")
+                .says("What callers take the free value on answers to mean.");
+        at("machine advice-heeded", "settings.domain.heeded_ns", SPAN).from("0", HOUR).otherwise("0s")
+                .change(RESTART, FIXED).says("How long callers keep the free value in mind.");
+        at("machine idle-connections", "settings.domain.keepalive_max_ns", SPAN).from("0", DAY)
+                .otherwise("an hour").change(NEW_CONNECTIONS, "a connection that is idle keeps the time it was given")
+                .says("How long callers keep an idle connection.");
+        at("machine tells-gone", "settings.domain.tells_gone", FLAG).otherwise("#false").change(RESTART, FIXED)
+                .says("Whether the node hears of a caller that gives up.");
+
+        for (String[] part : new String[][] {{"whole", "whole", "the whole day"},
+                {"worst-track", "worst_class", "the track served worst"},
+                {"worst-customer", "worst_tenant", "the customer served worst"},
+                {"worst-window", "worst_window", "the worst ten seconds"}}) {
+            at("goal " + part[0], "settings.goal." + part[1], SHARE).from("0", "1").otherwise("0%")
+                    .change(AT_ONCE, JUDGED).says("The weight in the goal of " + part[2] + ".");
+        }
+        at("bounced come-back-after-most", "settings.bounds.max_retry_after_ns", SPAN).from("0", HOUR)
+                .otherwise("0s").change(AT_ONCE, JUDGED).says("The longest time to stay away that callers follow.");
+        at("bounced tells-when", "settings.bounds.retry_after", FLAG).otherwise("#false").change(RESTART, FIXED)
+                .says("Whether callers are told when to come back.");
+        at("rules answer-slack", "settings.rules.answer_slack_ns", SPAN).from("0", HOUR).otherwise("0s")
+                .change(RESTART, FIXED).says("How long past its abandon time a ticket's answer still counts.");
+        at("rules drain-grace", "settings.rules.drain_grace_ns", SPAN).from("0", HOUR).otherwise("0s")
+                .change(AT_ONCE, "it counts from the notice to leave; after that no configuration is taken over")
+                .says("Nothing that comes this long after the notice to leave is run.");
+        at("rules cold-share", "settings.rules.cold_share", SHARE).from("0.000001", "1").otherwise("100%")
+                .change(RESTART, FIXED).says("The part of its speed that a cold machine has at least.");
+        at("rules warm-after", "settings.rules.ramp_time_ns", SPAN).from("0", DAY).otherwise("0s")
+                .change(RESTART, FIXED).says("When a cold machine is warm at the latest.");
+        at("rules crowd", "settings.rules.fall_multiple", NUMBER).from("1", "1000000").otherwise("3")
+                .change(RESTART, FIXED).says("How many running tickets a core of a warm machine survives.");
+        at("rules crowd-over", "settings.rules.fall_ns", SPAN).from("0", HOUR).otherwise("0s")
+                .change(RESTART, FIXED).says("The time over which the crowd on the cores is averaged.");
+
+        at("moves welcome-within", "operator.moves.welcome_within_ns", SPAN).from("10000000", HOUR)
+                .otherwise("off: the node waits for a new executor for good").change(AT_ONCE, "it counts for the next move")
+                .says("How long a new executor has to say WELCOME before the node goes back to the old one.");
+    }
+
+    public static List<Entry> all() {
+        return List.copyOf(ALL);
+    }
+
+    /** The entry of this name, with {@code *} for an item's name; null where there is none. */
+    public static Entry named(String name) {
+        return BY_NAME.get(name);
+    }
+
+    /** The entry with this key, with {@code #} for an item's place; null where there is none. */
+    public static Entry keyed(String key) {
+        return BY_KEY.get(key);
+    }
+
+    private static Builder at(String name, String key, Kind kind) {
+        return new Builder(name, key, kind);
+    }
+
+    private static final class Builder {
+        private final String name;
+        private final String key;
+        private final Kind kind;
+        private BigDecimal least;
+        private BigDecimal most;
+        private final List<String> kept = new ArrayList<>();
+        private final List<String> said = new ArrayList<>();
+        private boolean required;
+        private String otherwise = "";
+        private Change change;
+        private String because;
+
+        Builder(String name, String key, Kind kind) {
+            this.name = name;
+            this.key = key;
+            this.kind = kind;
+        }
+
+        Builder from(String from, String to) {
+            least = new BigDecimal(from);
+            most = new BigDecimal(to);
+            return this;
+        }
+
+        Builder words(String... pairs) {
+            for (int i = 0; i < pairs.length; i += 2) {
+                kept.add(pairs[i]);
+                said.add(pairs[i + 1]);
+            }
+            return this;
+        }
+
+        Builder needed() {
+            required = true;
+            return this;
+        }
+
+        Builder otherwise(String text) {
+            otherwise = text;
+            return this;
+        }
+
+        Builder change(Change when, String why) {
+            change = when;
+            because = why;
+            return this;
+        }
+
+        void says(String meaning) {
+            Entry entry = new Entry(name, key, kind, least, most, List.copyOf(kept), List.copyOf(said), required,
+                    otherwise, change, because, meaning);
+            ALL.add(entry);
+            BY_NAME.put(name, entry);
+            BY_KEY.put(key, entry);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/lupinwood/lab/LabTest.java
@@ -0,0 +1,66 @@
+package lupinwood.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.time.Instant;
+import lupinwood.log.Log;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The audit catches each broken rule, and the experiments hold them. */
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+final class LabTest {
+    private final ByteArrayOutputStream printed = new ByteArrayOutputStream();
+    private final Log log = new Log(new PrintStream(new ByteArrayOutputStream()), Instant::now);
+
+    private static Audit with(String id, String mark) {
+        Audit audit = new Audit();
+        audit.sent(id, new Audit.Sent("unlock", "scooter", mark, 1000, 4000));
+        return audit;
+    }
+
+    @Test
+    void theAuditCatchesWhatBreaksARule() {
+        Audit twice = with("a", null);
+        twice.answer("a", "ACK", "done: scooter", 1500);
+        assertThat(twice.close()).isEmpty();
+        twice.answer("a", "NAK", "", 1501);
+        assertThat(twice.close()).containsExactly("two answers to a");
+        assertThat(with("a", null).close()).containsExactly("no answer to a");
+        Audit late = with("a", null);
+        late.answer("a", "FAIL", "", 5200);
+        assertThat(late.close()).hasSize(1).first().asString().contains("4200 ms");
+        Audit others = with("a", null);
+        others.answer("a", "ACK", "done: bike", 1500);
+        assertThat(others.close()).containsExactly("a was satisfied with another's result");
+        Audit rerun = with("a", "m");
+        rerun.sent("b", new Audit.Sent("unlock", "scooter", "m", 1100, 4000));
+        rerun.ran("a", "unlock", "scooter");
+        rerun.ran("b", "unlock", "scooter");
+        rerun.answer("a", "NAK", "", 1500);
+        rerun.answer("b", "ACK", "done: scooter", 1500);
+        assertThat(rerun.close()).containsExactly("the mark m ran twice", "a was bounced and ran");
+        Audit stray = new Audit();
+        stray.answer("x", "ACK", "", 1);
+        assertThat(stray.close()).hasSize(1);
+    }
+
+    @Test
+    void theTourShowsEachKindOfAnswer() throws Exception {
+        Experiment.Outcome outcome =
+                Experiments.named("tour", 1, 0, new PrintStream(printed, true), log).run();
+        assertThat(outcome.broken()).isEmpty();
+        assertThat(outcome.line()).isEqualTo("tour: abandoned 2, runs 4, satisfied 5, sent 7, broken 0");
+        assertThat(printed.toString()).contains("satisfied: done: scooter 7");
+    }
+
+    @Test
+    void aStormOfReloadsLosesNothingAndRunsNothingTwice() throws Exception {
+        Experiment.Outcome outcome =
+                Experiments.named("reload-storm", 5, 25, new PrintStream(printed, true), log).run();
+        assertThat(outcome.broken()).isEmpty();
+        assertThat(outcome.line()).contains("reloads 25", "mute", "half-written", "refused");
+    }
+}
