Let servers that speak AJP carry out tickets, chosen by pools and a budget of repeats

Need: tickets could come over AJP and not go out over it. Change: net.AjpServers carries out the tracks that servers name, beside the executor (Works, Executor.isOnLink keeps such runs out of the proof by gauges). A ticket goes again only where nothing ran for certain (Ending.NOT_WRITTEN and NO_PONG are new) or its track is pure, out of one budget; a run given up counts as out for the linger. Cause mended besides: a wake-up left over from the inbox ended the decider's parking at once, so rounds came closer than a millisecond, by which a test failed once (30 rounds in 19 ms); it parks until the time is over. Could hurt: rounds at their true pace; nothing else where no server is configured.

--- a/src/main/java/lupinwood/core/Ending.java
+++ b/src/main/java/lupinwood/core/Ending.java
@@ -33,6 +33,10 @@
     CONNECTION_REFUSED(Outcome.UNREACHABLE),
     /** The connection never came about: nothing was sent on it. */
     NEVER_CONNECTED(Outcome.UNREACHABLE),
+    /** The connection ended before the request was written to it: nothing ran. */
+    NOT_WRITTEN(Outcome.UNREACHABLE),
+    /** The other side did not say in time that it is there, and so was sent nothing. */
+    NO_PONG(Outcome.UNREACHABLE),
     /** The other side closed or reset the connection; what was under way on it may have run. */
     CLOSED_BY_PEER(Outcome.BROKEN),
     /** The other side sent what can't be read. */
--- a/src/main/java/lupinwood/core/Executor.java
+++ b/src/main/java/lupinwood/core/Executor.java
@@ -8,6 +8,14 @@
     /** Hand a run the reply to the call that it waits for; false where there is no link. */
     boolean giveReply(TryId id, byte[] reply);
 
+    /**
+     * Whether a track's runs are on the link, so that its loss puts their commands in doubt. Runs elsewhere end by
+     * themselves, each with its own ending.
+     */
+    default boolean isOnLink(String track) {
+        return true;
+    }
+
     void askGauges(long tag);
 
     /** Do the work of a deep health check. */
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -290,7 +290,7 @@
     public void executorStartedAnew() {
         ports.log().accept("the executor was started anew, its runs are lost");
         tickets.forEach(taken -> {
-            if (taken.started) {
+            if (taken.started && !taken.elsewhere) {
                 lost(taken.arrival.tryId(), Ending.EXECUTOR_GONE);
             }
         });
@@ -303,6 +303,9 @@
      */
     private void sendAgain() {
         tickets.forEach(taken -> {
+            if (taken.elsewhere) {
+                return;
+            }
             if (taken.started && !taken.startKnown) {
                 if (taken.sent && track(taken).effect() != Effect.PURE) {
                     taken.unsure = true;
@@ -336,7 +339,7 @@
         tickets.forEach(taken -> {
             if (taken.unsure) {
                 doubtful.add(taken);
-            } else if (taken.startKnown && taken.callBody == null && taken.unreadReply == null) {
+            } else if (!taken.elsewhere && taken.startKnown && taken.callBody == null && taken.unreadReply == null) {
                 certain[0]++;
             }
         });
@@ -495,6 +498,7 @@
 
     private void askToRun(Taken taken) {
         taken.startedAfter = tags.last();
+        taken.elsewhere = !ports.executor().isOnLink(taken.arrival.track());
         taken.sent = ports.executor().run(taken.arrival.tryId(), taken.arrival.track(), taken.arrival.body());
     }
 
--- a/src/main/java/lupinwood/core/Taken.java
+++ b/src/main/java/lupinwood/core/Taken.java
@@ -16,6 +16,8 @@
     /** An answer was given, or none is owed any more. */
     boolean answered;
     boolean started;
+    /** It runs at a server and not on the executor's link. */
+    boolean elsewhere;
     /** The command to run it was written to a link, so it may have been read. */
     boolean sent;
     /** Something was heard that proves that the executor read that command. */
--- a/src/main/java/lupinwood/load/LanguageLoader.java
+++ b/src/main/java/lupinwood/load/LanguageLoader.java
@@ -40,7 +40,9 @@
                 values.put(each.getKey(), each.getValue());
             }
             Map<String, List<String>> lists = new LinkedHashMap<>(config.meaning().lists());
-            lists.put(Schema.ROUTE, part.items(Schema.ROUTE));
+            for (String list : List.of(Schema.ROUTE, Schema.SERVER)) {
+                lists.put(list, part.items(list));
+            }
             Meaning both = new Meaning(lists, Meaning.ordered(lists, values));
             List<Fault> faults = Checks.of(both, config.doubts());
             if (!faults.isEmpty()) {
--- a/src/main/java/lupinwood/net/Decider.java
+++ b/src/main/java/lupinwood/net/Decider.java
@@ -96,14 +96,24 @@
                 Runnable first = await();
                 long begun = System.nanoTime();
                 round(first);
-                // Under load news gathers meanwhile, and no socket thread has to wake this one for each piece.
-                LockSupport.parkNanos(PACE - (System.nanoTime() - begun));
+                rest(begun);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /**
+     * Under load news gathers meanwhile, and no socket thread has to wake this one for each piece. A wake-up left over
+     * from the inbox ends a parking at once, so it may take several.
+     */
+    private static void rest(long begun) {
+        for (long left = PACE - (System.nanoTime() - begun); left > 0 && !Thread.currentThread().isInterrupted();
+                left = PACE - (System.nanoTime() - begun)) {
+            LockSupport.parkNanos(left);
+        }
+    }
+
     private Runnable await() throws InterruptedException {
         if (!own.isEmpty()) {
             return own.poll();
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -15,6 +15,7 @@
 import lupinwood.node.Span;
 import lupinwood.reload.Plan;
 import lupinwood.settings.Change;
+import lupinwood.settings.Schema;
 
 /** One real node: its sockets, its deciding thread, and how it leaves. */
 public final class Serving {
@@ -59,6 +60,8 @@
     /** Null where the configuration has none, which then loads nothing of it. */
     private final AjpFront ajp;
     private final ExecutorLink executor;
+    /** Null where no server carries out tickets, which then loads nothing of it. */
+    private final AjpServers servers;
     private final IndexLink index;
     private final NamingReporter naming;
     private final Host host;
@@ -76,11 +79,14 @@
                 : new AjpFront(config.meaning(), decider, deadlines, log);
         Means means = new Means(sockets, decider, deadlines, log);
         executor = new ExecutorLink(config.executor(), at -> executorAt = at, means);
+        servers = config.meaning().items(Schema.SERVER).isEmpty() ? null
+                : new AjpServers(config.meaning(), config.seed(), means);
         index = new IndexLink(config.index(), means);
         naming = new NamingReporter(config.naming(), config.name(), means);
         int connections = Math.max(config.sockets() / 2 + 1, config.sockets() - OWN_DESCRIPTORS);
         host = new Host(config.settings(), config.seed(), maker,
-                new Host.Ports(ajp == null ? listener : new Fronts(listener, ajp), executor, index, log::line), deadlines,
+                new Host.Ports(ajp == null ? listener : new Fronts(listener, ajp),
+                        servers == null ? executor : new Works(executor, servers), index, log::line), deadlines,
                 new Host.Bounds(connections, TICKETS, RECEIPT_BYTES), Decider.clock());
     }
 
@@ -106,6 +112,9 @@
                 ajp.serve(host);
             }
             index.serve(host);
+            if (servers != null) {
+                servers.serve(host);
+            }
             executor.serve(host);
             naming.serve(host);
             tellFigures();
--- a/src/main/java/lupinwood/pools/Pool.java
+++ b/src/main/java/lupinwood/pools/Pool.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.function.IntPredicate;
 import lupinwood.node.Histogram;
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
@@ -109,9 +110,14 @@
      * @param tried servers that it went to before, which get it only if all others may not
      */
     public int send(Moment now, List<Integer> tried) {
-        int best = best(now, tried);
+        return send(now, tried, server -> true);
+    }
+
+    /** @param may which servers carry out tickets of its kind */
+    public int send(Moment now, List<Integer> tried, IntPredicate may) {
+        int best = best(now, tried, may);
         if (best < 0 && !tried.isEmpty()) {
-            best = best(now, List.of());
+            best = best(now, List.of(), may);
         }
         if (best >= 0) {
             Book book = books.get(best);
@@ -125,14 +131,15 @@
         return best;
     }
 
-    private int best(Moment now, List<Integer> tried) {
+    private int best(Moment now, List<Integer> tried, IntPredicate may) {
         int best = -1;
         double soonest = Double.MAX_VALUE;
         for (int i = 0; i < books.size(); i++) {
             int server = (turn + i) % books.size();
             Book book = books.get(server);
             boolean back = book.backAt == null || !now.isBefore(book.backAt);
-            if (!back || book.out >= limit(server) || tried.contains(server)) {
+            if (!back || book.out >= limit(server) || tried.contains(server)
+                    || !may.test(server)) {
                 continue;
             }
             // One that was left out is tried before all others: it costs one ticket, and nothing else shows it well.
--- a/src/main/java/lupinwood/settings/Checks.java
+++ b/src/main/java/lupinwood/settings/Checks.java
@@ -38,6 +38,7 @@
         checks.addresses();
         checks.limits();
         checks.routes();
+        checks.servers();
         return checks.faults;
     }
 
@@ -251,4 +252,20 @@
                     true);
         }
     }
+
+    private void servers() {
+        for (String server : meaning.items(Schema.SERVER)) {
+            String name = "server " + server + " tracks";
+            for (String track : meaning.values().getOrDefault(name, "").split(",")) {
+                if (isSound(name) && !meaning.tracks().contains(track)) {
+                    fault(name, "there is no track " + track, "write some of: "
+                            + String.join(", ", meaning.tracks()), true);
+                }
+                if ("true".equals(meaning.value("track " + track + " calls"))) {
+                    fault(name, "tickets of track " + track + " call, and servers that speak AJP can't tell of calls",
+                            "write calls #false in track " + track, true);
+                }
+            }
+        }
+    }
 }
--- a/src/main/java/lupinwood/settings/Schema.java
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -32,8 +32,9 @@
     public static final String TRACK = "track";
     public static final String CUSTOMER = "customer";
     public static final String ROUTE = "route";
+    public static final String SERVER = "server";
     /** All lists, in the order in which their items are written. */
-    public static final List<String> LISTS = List.of(CUSTOMER, TRACK, ROUTE);
+    public static final List<String> LISTS = List.of(CUSTOMER, TRACK, ROUTE, SERVER);
     /** The section of entries that this build has no name for; they reach the node as they are. */
     public static final String EXTRA = "extra";
     private static final String HOUR = "3600000000000";
@@ -206,6 +207,12 @@
                 .change(RESTART, ROUTED).says("The header with a receipted ticket's mark, of 1 to 64 hexadecimal digits.");
         at("route * memory", "operator.routes.#.memory_kb", MEMORY_KB).from("1", "1999000").otherwise("20KB")
                 .change(RESTART, ROUTED).says("The memory booked for a ticket of the route while it is held.");
+        at("server * address", "operator.servers.#.address", ADDRESS).needed().change(RESTART, ROUTED)
+                .says("Where the server listens, which speaks AJP.");
+        at("server * tracks", "operator.servers.#.tracks", WORDS).needed().change(RESTART, ROUTED)
+                .says("Whose tickets it carries out, in place of the executor.");
+        at("server * secret", "operator.servers.#.secret", TEXT).otherwise("none").change(RESTART, ROUTED)
+                .says("What the node shows it with each request.");
     }
 
     public static List<Entry> all() {
