Check operators' own files by themselves, and count included files as looked at

Need: config check told an operator's file that all the rest was missing; a watched node read its configuration once more right after the start where that includes files. The command's output is under test.

--- a/src/main/java/lupinwood/cli/ConfigCommand.java
+++ b/src/main/java/lupinwood/cli/ConfigCommand.java
@@ -18,8 +18,11 @@
     @Parameter(names = "--check", description = "With format: change nothing, exit with 1 where something would change")
     private boolean checkOnly;
 
+    @Parameter(names = "--operator", description = "With check: the files hold an operator's own entries only")
+    private boolean operator;
+
     @Override
     public int run() {
-        return new ConfigWork(json, checkOnly).run(words);
+        return new ConfigWork(json, checkOnly, operator).run(words);
     }
 }
--- a/src/main/java/lupinwood/cli/ConfigWork.java
+++ b/src/main/java/lupinwood/cli/ConfigWork.java
@@ -6,6 +6,7 @@
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -36,11 +37,13 @@
 
     private boolean json;
     private final boolean checkOnly;
+    private final boolean operator;
     private final PrintStream out = new PrintStream(System.out, false, StandardCharsets.UTF_8);
 
-    ConfigWork(boolean json, boolean checkOnly) {
+    ConfigWork(boolean json, boolean checkOnly, boolean operator) {
         this.json = json;
         this.checkOnly = checkOnly;
+        this.operator = operator;
     }
 
     /** Returns the exit status. */
@@ -95,7 +98,8 @@
     }
 
     private int checkLanguage(String file) {
-        Config config = Reader.read(new FileSources(), file);
+        FileSources sources = new FileSources();
+        Config config = operator ? Reader.readPart(sources, file) : Reader.read(sources, file);
         return report(config.problems(), config);
     }
 
@@ -153,6 +157,8 @@
         for (String file : files) {
             try {
                 status = Math.max(status, formatOne(Path.of(file)));
+            } catch (CharacterCodingException e) {
+                return usage(file + " is no UTF-8; 'config check' shows where");
             } catch (IOException e) {
                 return usage("can't read or write " + file + ": " + e.getMessage());
             }
--- a/src/main/java/lupinwood/load/Reloader.java
+++ b/src/main/java/lupinwood/load/Reloader.java
@@ -36,7 +36,9 @@
         this.serving = serving;
         this.log = log;
         files = loaded.files();
-        triggers = new Triggers(watches, looked, clock());
+        // What the first file includes was not known at that look; it counts as looked at if that file is the same.
+        Look atStart = loader.look().equals(looked) ? FileLooks.at(files) : looked;
+        triggers = new Triggers(watches, atStart, clock());
     }
 
     public void start() {
