Look at included files before asking whether the first one changed

Cause: the look at the start asked first whether the file was the same and looked at all files after; a change between the two was never seen, and the process test that changes the file right then timed out once in the full run. Change: the other order, and the line that says what reloads the node comes once it does.

--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -73,9 +73,9 @@
             return FAILED;
         }
         boolean watches = watching == Watching.ON || watching == Watching.AUTO && !heard;
-        log.line(triggers(heard, watches));
         reloader = new Reloader(loader, loaded, looked, watches, node, log);
         reloader.start();
+        log.line(triggers(heard, watches));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(node, log), "leave"));
         try {
             new CountDownLatch(1).await();
--- a/src/main/java/lupinwood/load/Reloader.java
+++ b/src/main/java/lupinwood/load/Reloader.java
@@ -37,7 +37,9 @@
         this.log = log;
         files = loaded.files();
         // What the first file includes was not known at that look; it counts as looked at if that file is the same.
-        Look atStart = loader.look().equals(looked) ? FileLooks.at(files) : looked;
+        // This order: a change between the two then counts as one that was not seen yet.
+        Look all = FileLooks.at(files);
+        Look atStart = loader.look().equals(looked) ? all : looked;
         triggers = new Triggers(watches, atStart, clock());
     }
 
