--- a/src/main/java/lupinwood/cli/LabCommand.java
+++ b/src/main/java/lupinwood/cli/LabCommand.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import lupinwood.lab.Experiment;
 import lupinwood.lab.Experiments;
+import lupinwood.log.LibraryLogs;
 import lupinwood.log.Log;
 
 /** Runs the laboratory's experiments. */
@@ -32,6 +33,7 @@
     public int run() {
         // Without --log nobody drains it: it keeps a bounded number of lines and drops the rest.
         Log log = logs ? Log.start() : new Log(new PrintStream(new ByteArrayOutputStream()), Instant::now);
+        LibraryLogs.sendTo(log);
         Experiment experiment = Experiments.named(name, seed, size, System.out, log);
         if (experiment == null) {
             System.err.println("lupinwood: there is no experiment " + name + "; there is: " + Experiments.NAMES);
--- /dev/null
+++ b/src/main/java/lupinwood/council/Council.java
@@ -0,0 +1,352 @@
+package lupinwood.council;
+
+import io.microraft.Ordered;
+import io.microraft.QueryPolicy;
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import io.microraft.report.RaftTerm;
+import io.microraft.statemachine.StateMachine;
+import io.microraft.transport.Transport;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import lupinwood.fleet.Beat;
+import lupinwood.fleet.Book;
+import lupinwood.fleet.Deed;
+import lupinwood.fleet.DutyName;
+import lupinwood.fleet.NodeName;
+import lupinwood.fleet.Reply;
+import lupinwood.fleet.Rules;
+import lupinwood.fleet.Seen;
+import lupinwood.fleet.Steward;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+
+/**
+ * One voter's part in the council: the library's engine, the book that it agrees on, and the steward who decides while
+ * this voter leads. All happens on one loop, whose clock may be made up.
+ *
+ * <p>A beat is answered only after a majority confirmed that this voter still led after the beat came: so whoever leads
+ * later began after every word that a holder may count from.
+ */
+public final class Council {
+    /** What it works with. */
+    public record Means(Loop loop, BiConsumer<NodeName, RaftMessage> post, RaftStore store, RestoredRaftState restored,
+            Random random, Consumer<String> log) {}
+
+    /** What one voter says of the council. */
+    public record State(NodeName self, NodeName leader, int term, List<Seen> seen, List<Book.Held> duties,
+            String digest, long deeds) {}
+
+    static final String GROUP = "fleet";
+    private static final String NEW_TERM = "term";
+    /** The engine counts heartbeats in whole seconds of its own; its clock runs so much faster that a lease holds so many. */
+    private static final double ENGINE_SECONDS_A_LEASE = 24;
+    private static final int HEARTBEAT_SECONDS = 1;
+    private static final int SILENCE_SECONDS = 8;
+    private static final int ELECTION_MILLIS = 2000;
+    private static final int SNAPSHOT_EVERY = 1000;
+    private static final int REPORT_SECONDS = 3600;
+    /** Beats that wait for one confirmation; past that the newest is passed over, and told again by its node. */
+    private static final int MOST_WAITING = 4096;
+    private static final int MOST_DEEDS_AT_ONCE = 64;
+
+    /** @param again whether it was answered before, and hears of something new since */
+    private record Waiting(Beat beat, Consumer<Reply> to, boolean again) {}
+
+    private final NodeName self;
+    private final Means means;
+    private final Rules rules;
+    private final Book book;
+    private final Steward steward;
+    private final long tokensAbove;
+    private final RaftNode raft;
+    private final double speed;
+    private final Set<Deed> underWay = new HashSet<>();
+    /** The latest beat of each node, which may be answered once more. */
+    private final Map<NodeName, Waiting> latest = new HashMap<>();
+    private List<Waiting> waiting = new ArrayList<>();
+    private boolean confirming;
+    private int ledTerm = -1;
+    private boolean over;
+
+    /** @param tokensAbove where tokens begin should this be the council's first leader ever */
+    public Council(NodeName self, String endpoint, Collection<String> founders, Rules rules, List<DutyName> duties,
+            long tokensAbove, Means means) {
+        this.self = self;
+        this.means = means;
+        this.rules = rules;
+        this.tokensAbove = tokensAbove;
+        book = new Book(rules.mostMembers());
+        steward = new Steward(rules, duties);
+        speed = ENGINE_SECONDS_A_LEASE / rules.lease().seconds();
+        RaftConfig config = RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(ELECTION_MILLIS)
+                .setLeaderHeartbeatPeriodSecs(HEARTBEAT_SECONDS).setLeaderHeartbeatTimeoutSecs(SILENCE_SECONDS)
+                .setCommitCountToTakeSnapshot(SNAPSHOT_EVERY).setRaftNodeReportPublishPeriodSecs(REPORT_SECONDS)
+                .setAppendEntriesRequestBatchSize(100).setTransferSnapshotsFromFollowersEnabled(false).build();
+        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(GROUP).setConfig(config)
+                .setExecutor(new Executor()).setTransport(new Post()).setStateMachine(new Agreed()).setStore(means.store())
+                .setModelFactory(RaftText.MODEL).setRandom(means.random()).setClock(new EngineClock());
+        if (means.restored() == null) {
+            List<RaftEndpoint> all = new ArrayList<>();
+            founders.forEach(id -> all.add(new Voter(id)));
+            builder.setLocalEndpoint(new Voter(endpoint)).setInitialGroupMembers(all);
+        } else {
+            builder.setRestoredState(means.restored());
+        }
+        raft = builder.build();
+    }
+
+    public void start() {
+        raft.start();
+        look();
+    }
+
+    /** It takes part no more; the folder may be closed after this. */
+    public void stop() {
+        over = true;
+        raft.terminate();
+    }
+
+    /** What another voter's engine says. */
+    public void heard(RaftMessage message) {
+        if (!over) {
+            raft.handle(message);
+        }
+    }
+
+    /** A node's beat; the answer comes once it is confirmed, or never. */
+    public void heard(Beat told, Consumer<Reply> to) {
+        Beat beat = told.cut();
+        if (!leads()) {
+            to.accept(Steward.elsewhere(beat, leader()));
+            return;
+        }
+        if (waiting.size() < MOST_WAITING) {
+            Waiting one = new Waiting(beat, to, false);
+            waiting.add(one);
+            latest.put(beat.name(), one);
+            confirm();
+        }
+    }
+
+    /**
+     * One question to the majority at a time: a beat that comes while one is under way waits for the next, since votes
+     * for that one may be older than the beat.
+     */
+    private void confirm() {
+        if (confirming || waiting.isEmpty() || over) {
+            return;
+        }
+        confirming = true;
+        List<Waiting> batch = waiting;
+        waiting = new ArrayList<>();
+        int term = ledTerm;
+        raft.<Object>query("", QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()).whenComplete((done, failed) -> {
+            confirming = false;
+            if (failed == null && leads() && term == ledTerm) {
+                batch.forEach(this::answer);
+                act();
+            } else {
+                batch.forEach(one -> one.to().accept(Steward.elsewhere(one.beat(), leader())));
+            }
+            confirm();
+        });
+    }
+
+    private void answer(Waiting one) {
+        Moment now = means.loop().now();
+        String trouble = one.again() ? "" : steward.heard(one.beat(), book, now);
+        one.to().accept(steward.replyTo(one.beat(), trouble, book, self, now));
+    }
+
+    /** Whether this voter leads; notices when it begins to, or ends. */
+    private boolean leads() {
+        RaftTerm term = raft.getTerm();
+        boolean leads = !over && term.getLeaderEndpoint() != null
+                && term.getLeaderEndpoint().equals(raft.getLocalEndpoint());
+        if (leads && ledTerm != term.getTerm()) {
+            ledTerm = term.getTerm();
+            steward.leads(book, means.loop().now());
+            means.log().accept("leads the council in term " + ledTerm);
+        } else if (!leads && ledTerm >= 0) {
+            ledTerm = -1;
+            steward.leadsNoMore();
+            latest.clear();
+            means.log().accept("leads the council no more");
+        }
+        return leads;
+    }
+
+    public NodeName leader() {
+        Voter leader = Voter.of(raft.getTerm().getLeaderEndpoint());
+        return leader == null ? null : leader.name();
+    }
+
+    private void look() {
+        if (!over) {
+            if (leads()) {
+                act();
+            }
+            means.loop().after(steward.looksEvery(), this::look);
+        }
+    }
+
+    private void act() {
+        for (Deed deed : steward.decide(book, tokensAbove, means.loop().now())) {
+            propose(deed, null);
+        }
+    }
+
+    /** Has a deed written, unless the same is under way. */
+    private void propose(Deed deed, Consumer<Boolean> done) {
+        if (underWay.size() >= MOST_DEEDS_AT_ONCE || !underWay.add(deed)) {
+            return;
+        }
+        raft.<Boolean>replicate(DeedText.of(deed)).whenComplete((Ordered<Boolean> written, Throwable failed) -> {
+            underWay.remove(deed);
+            if (done != null) {
+                done.accept(failed == null && written.getResult());
+            }
+            if (failed == null && written.getResult()) {
+                means.log().accept("written: " + deed);
+                if (deed instanceof Deed.Give give) {
+                    tellAgain(give.heir());
+                }
+            }
+        });
+    }
+
+    /** An heir needn't wait for its next beat to hear of it. */
+    private void tellAgain(NodeName heir) {
+        Waiting one = latest.get(heir);
+        if (one != null && leads()) {
+            waiting.add(new Waiting(one.beat(), one.to(), true));
+            confirm();
+        }
+    }
+
+    /** A deed that another part of the node wants written; false where it did not fit, or may not have been written. */
+    public void write(Deed deed, Consumer<Boolean> done) {
+        if (leads()) {
+            propose(deed, done);
+        } else {
+            done.accept(false);
+        }
+    }
+
+    public State state() {
+        List<Seen> seen = leads() ? steward.picture(book, means.loop().now()) : List.of();
+        return new State(self, leader(), raft.getTerm().getTerm(), seen, new ArrayList<>(book.duties()), book.digest(),
+                book.deeds());
+    }
+
+    /** Who votes, as far as this voter knows. */
+    public Set<String> voters() {
+        Set<String> ids = new HashSet<>();
+        raft.getCommittedMembers().getVotingMembers().forEach(one -> ids.add(RaftText.id(one)));
+        return ids;
+    }
+
+    public boolean isLeading() {
+        return leads();
+    }
+
+    /** What the library agrees on for us. */
+    private final class Agreed implements StateMachine {
+        @Override
+        public Object runOperation(long index, Object operation) {
+            String text = (String) operation;
+            if (text.isEmpty()) {
+                return null; // a question
+            }
+            Deed deed = text.equals(NEW_TERM) ? null : DeedText.deed(text);
+            return deed != null && book.apply(deed);
+        }
+
+        @Override
+        public void takeSnapshot(long index, Consumer<Object> pieces) {
+            DeedText.pieces(book.page()).forEach(pieces);
+        }
+
+        @Override
+        public void installSnapshot(long index, List<Object> pieces) {
+            book.open(DeedText.page(pieces));
+        }
+
+        @Override
+        public Object getNewTermOperation() {
+            return NEW_TERM;
+        }
+    }
+
+    private final class Post implements Transport {
+        @Override
+        public void send(RaftEndpoint target, RaftMessage message) {
+            means.post().accept(Voter.of(target).name(), message);
+        }
+
+        @Override
+        public boolean isReachable(RaftEndpoint endpoint) {
+            return true;
+        }
+    }
+
+    private final class Executor implements RaftNodeExecutor {
+        @Override
+        public void execute(Runnable task) {
+            means.loop().execute(task);
+        }
+
+        @Override
+        public void submit(Runnable task) {
+            means.loop().execute(task);
+        }
+
+        @Override
+        public void schedule(Runnable task, long delay, TimeUnit unit) {
+            means.loop().after(new Span(Math.round(unit.toNanos(delay) / speed)), task);
+        }
+    }
+
+    /** The engine's own time. */
+    private final class EngineClock extends Clock {
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public long millis() {
+            return Math.round(means.loop().now().nanos() * speed / 1e6);
+        }
+
+        @Override
+        public Instant instant() {
+            return Instant.ofEpochMilli(millis());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/fleet/Beat.java
@@ -0,0 +1,31 @@
+package lupinwood.fleet;
+
+import java.util.List;
+
+/**
+ * What a node tells the council, again and again.
+ *
+ * @param version of this form; a council passes over what it can't read
+ * @param number counts up within one life; the reply names it
+ * @param holds what it holds for certain now
+ * @param handsOn what it held, and does no more
+ * @param failsAt what it can't do
+ * @param leftOut servers that it has left out
+ * @param found what it tried under the duty trial
+ */
+public record Beat(int version, NodeName name, Life life, Site site, Condition condition, long number, List<Grant> holds,
+        List<Grant> handsOn, List<Grant> failsAt, List<String> leftOut, List<Finding> found) {
+    public static final int VERSION = 1;
+    /** What one node may name of each; a longer list is cut, which costs only that node. */
+    public static final int MOST = 32;
+
+    /** Without what would be too much, or is missing in an older form. */
+    public Beat cut() {
+        return new Beat(version, name, life, site, condition, number, cut(holds), cut(handsOn), cut(failsAt),
+                cut(leftOut), cut(found));
+    }
+
+    private static <T> List<T> cut(List<T> list) {
+        return list == null ? List.of() : list.size() <= MOST ? list : List.copyOf(list.subList(0, MOST));
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/fleet/Book.java
@@ -0,0 +1,177 @@
+package lupinwood.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * What the fleet has agreed on: its members, and who holds which duty under which token. The same deeds in the same order
+ * give the same book everywhere. It knows no time: whether a lease has run out is the steward's to reckon.
+ */
+public final class Book {
+    /**
+     * A node that came.
+     *
+     * @param in whether it has come and not gone
+     */
+    public record Member(NodeName name, Life life, Site site, boolean in) {}
+
+    /**
+     * A duty.
+     *
+     * @param holder null while it is nobody's
+     * @param life of the holder
+     * @param token the one it was last given under
+     */
+    public record Held(DutyName duty, NodeName holder, Life life, Token token) {
+        public boolean isFree() {
+            return holder == null;
+        }
+
+        public boolean isBy(NodeName name, Life ofLife) {
+            return holder != null && holder.equals(name) && life.equals(ofLife);
+        }
+    }
+
+    /** The whole book, as it is kept and sent. */
+    public record Page(List<Member> members, List<Held> duties, long lastToken, String digest, long deeds) {}
+
+    private static final int MOST_DUTIES = 64;
+
+    private final int mostMembers;
+    private final TreeMap<NodeName, Member> members = new TreeMap<>();
+    private final TreeMap<DutyName, Held> duties = new TreeMap<>();
+    private long lastToken;
+    private String digest = "";
+    private long deeds;
+
+    public Book(int mostMembers) {
+        this.mostMembers = mostMembers;
+    }
+
+    /** Takes over a whole page in the place of all it had. */
+    public void open(Page page) {
+        members.clear();
+        page.members().forEach(member -> members.put(member.name(), member));
+        duties.clear();
+        page.duties().forEach(held -> duties.put(held.duty(), held));
+        lastToken = page.lastToken();
+        digest = page.digest();
+        deeds = page.deeds();
+    }
+
+    public Page page() {
+        return new Page(new ArrayList<>(members.values()), new ArrayList<>(duties.values()), lastToken, digest, deeds);
+    }
+
+    /** Whether the deed fitted and was done; one that no longer fits changes nothing. */
+    public boolean apply(Deed deed) {
+        deeds++;
+        if (deed instanceof Deed.Join join) {
+            return join(join);
+        }
+        if (deed instanceof Deed.Leave leave) {
+            Member member = members.get(leave.name());
+            if (member == null || !member.life().equals(leave.life())) {
+                return false;
+            }
+            members.put(leave.name(), new Member(member.name(), member.life(), member.site(), false));
+            return true;
+        }
+        if (deed instanceof Deed.Forget forget) {
+            boolean holds = duties.values().stream().anyMatch(held -> forget.name().equals(held.holder()));
+            return !holds && members.remove(forget.name()) != null;
+        }
+        if (deed instanceof Deed.Give give) {
+            return give(give);
+        }
+        if (deed instanceof Deed.Free free) {
+            Held held = duties.get(free.duty());
+            if (held == null || held.isFree() || !held.token().equals(free.token())) {
+                return false;
+            }
+            duties.put(free.duty(), new Held(free.duty(), null, null, held.token()));
+            return true;
+        }
+        if (deed instanceof Deed.Found found) {
+            if (isFounded()) {
+                return false;
+            }
+            lastToken = Math.max(1, found.above());
+            return true;
+        }
+        Deed.Keep keep = (Deed.Keep) deed;
+        Held keeper = duties.get(DutyName.KEEPER);
+        if (keeper == null || keeper.isFree() || !keeper.token().equals(keep.token())) {
+            return false;
+        }
+        digest = keep.digest();
+        return true;
+    }
+
+    private boolean join(Deed.Join join) {
+        if (!members.containsKey(join.name()) && members.size() >= mostMembers) {
+            // Guards against names that come once each, as of nodes named anew at each start: who went makes room.
+            members.values().stream().filter(member -> !member.in()).findFirst()
+                    .ifPresent(gone -> members.remove(gone.name()));
+            if (members.size() >= mostMembers) {
+                return false;
+            }
+        }
+        members.put(join.name(), new Member(join.name(), join.life(), join.site(), true));
+        return true;
+    }
+
+    private boolean give(Deed.Give give) {
+        Held held = duties.get(give.duty());
+        Member heir = members.get(give.heir());
+        boolean fits = held == null ? give.after().number() == 0 && duties.size() < MOST_DUTIES
+                : held.isFree() && held.token().equals(give.after());
+        if (!fits || heir == null || !heir.in() || !heir.life().equals(give.life())) {
+            return false;
+        }
+        duties.put(give.duty(), new Held(give.duty(), give.heir(), give.life(), new Token(++lastToken)));
+        return true;
+    }
+
+    /** Whether the first token is known; before, no duty is given. */
+    public boolean isFounded() {
+        return lastToken > 0;
+    }
+
+    /** Whether no further node may come. */
+    public boolean isFull() {
+        return members.size() >= mostMembers && members.values().stream().allMatch(Member::in);
+    }
+
+    /** Null where no such node came. */
+    public Member member(NodeName name) {
+        return members.get(name);
+    }
+
+    public Collection<Member> members() {
+        return Collections.unmodifiableCollection(members.values());
+    }
+
+    /** Never null: one that was never given is nobody's under token 0. */
+    public Held duty(DutyName duty) {
+        Held held = duties.get(duty);
+        return held == null ? new Held(duty, null, null, new Token(0)) : held;
+    }
+
+    public Collection<Held> duties() {
+        return Collections.unmodifiableCollection(duties.values());
+    }
+
+    /** What the keeper last gathered. */
+    public String digest() {
+        return digest;
+    }
+
+    /** How many deeds were read, those that didn't fit included. */
+    public long deeds() {
+        return deeds;
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/fleet/DutyName.java
@@ -0,0 +1,19 @@
+package lupinwood.fleet;
+
+/** What one node at a time is to do for all. */
+public record DutyName(String text) implements Comparable<DutyName> {
+    /** Tries servers that all nodes have left out. */
+    public static final DutyName TRIAL = new DutyName("trial");
+    /** Gathers the fleet's picture and tells it outside. */
+    public static final DutyName KEEPER = new DutyName("keeper");
+
+    @Override
+    public int compareTo(DutyName other) {
+        return text.compareTo(other.text);
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/fleet/Life.java
@@ -0,0 +1,9 @@
+package lupinwood.fleet;
+
+/** One start of a node: drawn anew each time, so that two processes under one name are told apart. */
+public record Life(long number) {
+    @Override
+    public String toString() {
+        return Long.toHexString(number);
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/fleet/NodeName.java
@@ -0,0 +1,14 @@
+package lupinwood.fleet;
+
+/** What a node is called, the same after a restart. */
+public record NodeName(String text) implements Comparable<NodeName> {
+    @Override
+    public int compareTo(NodeName other) {
+        return text.compareTo(other.text);
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/fleet/Reply.java
@@ -0,0 +1,23 @@
+package lupinwood.fleet;
+
+import java.util.List;
+import lupinwood.node.Span;
+
+/**
+ * What the council says to a beat.
+ *
+ * @param number the beat's
+ * @param taken whether the one who says it leads; else the beat counts for nothing
+ * @param leader who leads, as far as the one who says it knows; null where nobody is known to
+ * @param trouble why the node stands outside; empty where it doesn't
+ * @param lease how long each grant is good, from before the beat was sent
+ * @param grants what the node holds; a duty that isn't named isn't its
+ * @param found what the holder of the duty trial found lately
+ * @param others how many nodes the council heard lately
+ */
+public record Reply(long number, boolean taken, NodeName leader, String trouble, Span lease, List<Grant> grants,
+        List<Finding> found, int others) {
+    static Reply notTaken(long number, NodeName leader) {
+        return new Reply(number, false, leader, "", Span.ZERO, List.of(), List.of(), 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/fleet/Site.java
@@ -0,0 +1,9 @@
+package lupinwood.fleet;
+
+/** Where a node stands. */
+public record Site(String region, String zone) {
+    @Override
+    public String toString() {
+        return region + "/" + zone;
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/fleet/Standing.java
@@ -0,0 +1,15 @@
+package lupinwood.fleet;
+
+/** What the fleet knows of a node. */
+public enum Standing {
+    /** Heard lately, and not yet warm. */
+    UP,
+    /** Heard lately, and warm. */
+    WARM,
+    /** Heard lately, and on its way out. */
+    LEAVING,
+    /** It said that it went, or an operator said so. */
+    OUT,
+    /** Not heard lately: it may be dead, stopped, or cut off. */
+    UNKNOWN
+}
--- a/src/main/java/lupinwood/lab/Experiments.java
+++ b/src/main/java/lupinwood/lab/Experiments.java
@@ -5,7 +5,7 @@
 
 /** The runs by their names. */
 public final class Experiments {
-    public static final String NAMES = "tour, reload-storm, config-cost, pools, mixed-fronts";
+    public static final String NAMES = "tour, reload-storm, config-cost, pools, mixed-fronts, duties-time";
 
     private Experiments() {}
 
@@ -21,6 +21,7 @@
             case "config-cost" -> new ConfigCost(size > 0 ? size : 10_000);
             case "pools" -> new PoolsRun(seed);
             case "mixed-fronts" -> new MixedFronts(seed, size > 0 ? size : 400, log);
+            case "duties-time" -> new DutiesInTime(seed, size > 0 ? size : 200, out);
             default -> null;
         };
     }
--- /dev/null
+++ b/src/main/java/lupinwood/lab/TimedFleet.java
@@ -0,0 +1,348 @@
+package lupinwood.lab;
+
+import io.microraft.model.message.RaftMessage;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import lupinwood.council.Council;
+import lupinwood.council.Loop;
+import lupinwood.fleet.Beat;
+import lupinwood.fleet.Condition;
+import lupinwood.fleet.DutyName;
+import lupinwood.fleet.Life;
+import lupinwood.fleet.NodeName;
+import lupinwood.fleet.Reply;
+import lupinwood.fleet.Rules;
+import lupinwood.fleet.Session;
+import lupinwood.fleet.Site;
+import lupinwood.fleet.Token;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+
+/**
+ * A fleet in made-up time, with the real council and the real sessions: nodes that stall, die and come back, clocks that
+ * run apart, links as {@link MadeUpLinks}. It audits what a node may do against all others, knowing the true time.
+ */
+final class TimedFleet {
+    /** What a run may leave out, to show that the audit finds it. */
+    enum Without { NOTHING, TOKEN, EARLY_STOP, DRIFT, DURABLE_VOTE }
+
+    private static final double POLL = 0.03;
+    private static final double SAMPLE = 0.05;
+    private static final List<DutyName> DUTIES = List.of(DutyName.TRIAL, DutyName.KEEPER);
+
+    /** One node, which may also vote. Its process can be stopped, go and come back. */
+    final class Node implements Loop {
+        final int place;
+        final NodeName name;
+        final Site site;
+        final boolean votes;
+        private final double rate;
+        private final long offset;
+        private final MadeUpFolder folder;
+        private int process;
+        private boolean up;
+        private long stoppedUntil;
+        private Condition condition = Condition.COLD;
+        Session session;
+        private Council council;
+
+        private Node(int place, boolean votes, double rate, long offset) {
+            this.place = place;
+            this.votes = votes;
+            this.rate = rate;
+            this.offset = offset;
+            name = new NodeName("n" + place);
+            site = new Site("r", "z" + place % zones);
+            folder = new MadeUpFolder(without == Without.DURABLE_VOTE);
+            folder.onVote(() -> {
+                if (time.now() < diesVotingUntil) {
+                    // Its vote is on the way; then the process is gone, and back at once.
+                    time.after(0.0001, this::kill);
+                    time.after(0.0002, this::start);
+                }
+            });
+        }
+
+        @Override
+        public Moment now() {
+            return new Moment(offset + Math.round(time.now() * rate));
+        }
+
+        @Override
+        public void execute(Runnable job) {
+            later(time.now(), job);
+        }
+
+        @Override
+        public void after(Span span, Runnable job) {
+            later(time.now() + Math.round(span.nanos() / rate), job);
+        }
+
+        /** A process that is stopped does it once it goes on, one that went never. */
+        private void later(long at, Runnable job) {
+            int of = process;
+            time.at(at, () -> {
+                if (!up || of != process) {
+                    return;
+                }
+                if (time.now() < stoppedUntil) {
+                    later(stoppedUntil, job);
+                } else {
+                    job.run();
+                }
+            });
+        }
+
+        boolean runs() {
+            return up && time.now() >= stoppedUntil;
+        }
+
+        boolean isUp() {
+            return up;
+        }
+
+        void start() {
+            if (up) {
+                return;
+            }
+            process++;
+            up = true;
+            stoppedUntil = 0;
+            condition = Condition.COLD;
+            session = new Session(rules, name, new Life(random.nextLong()), site, voterNames, random.nextLong(), now());
+            if (votes) {
+                council = new Council(name, name.text(), voterNames.stream().map(NodeName::text).toList(), councilRules,
+                        DUTIES, 1, new Council.Means(this, this::post, folder, folder.restore(),
+                                new Random(random.nextLong()),
+                        text -> trace.accept(time.now() / 1e9 + " " + name + ": " + text)));
+                execute(council::start);
+            }
+            after(Span.ofSeconds(rules.lease().seconds() / 2), () -> condition = Condition.WARM);
+            execute(this::talk);
+            execute(this::poll);
+        }
+
+        void kill() {
+            if (up) {
+                up = false;
+                process++;
+                folder.crash();
+                council = null;
+            }
+        }
+
+        void stopFor(double seconds) {
+            stoppedUntil = Math.max(stoppedUntil, time.now() + Math.round(seconds * 1e9));
+        }
+
+        private void post(NodeName to, RaftMessage message) {
+            Node other = byName.get(to);
+            links.send(place, other.place, () -> {
+                if (other.up && other.council != null) {
+                    Council at = other.council;
+                    other.execute(() -> at.heard(message));
+                }
+            });
+        }
+
+        private void talk() {
+            Session.Sent sent = session.beat(condition, now());
+            if (sent != null) {
+                beats++;
+                send(sent);
+            }
+            Span wait = session.due().since(now()).max(Span.ofSeconds(0.001));
+            after(wait.min(rules.beat()), this::talk);
+        }
+
+        private void send(Session.Sent sent) {
+            Node voter = byName.get(sent.to());
+            Session mine = session;
+            links.send(place, voter.place, () -> {
+                if (!voter.up || voter.council == null) {
+                    return;
+                }
+                Council at = voter.council;
+                voter.execute(() -> at.heard(sent.beat(), reply -> links.send(voter.place, place, () -> {
+                    if (up && session == mine) {
+                        execute(() -> hears(mine, reply));
+                    }
+                })));
+            });
+        }
+
+        private void hears(Session mine, Reply reply) {
+            if (without == Without.EARLY_STOP) {
+                mine.holding().asks(reply.number(), now()); // as if a grant counted from when it came
+            }
+            mine.heard(reply, now());
+        }
+
+        /** Asks itself, then acts; between the two it may be stopped. */
+        private void poll() {
+            if (council != null && council.isLeading()) {
+                int term = council.state().term();
+                NodeName leader = leaders.putIfAbsent(term, name);
+                if (leader != null && !leader.equals(name)) {
+                    breaks("two lead the council in term " + term + ": " + leader + " and " + name);
+                }
+            }
+            for (DutyName duty : DUTIES) {
+                Token token = session.holding().mayAct(duty, now());
+                if (token != null) {
+                    audit(duty, token);
+                    links.send(place, SINK, () -> sink(duty, token));
+                    if (random.nextInt(2000) == 0) {
+                        // It was stopped between asking and acting.
+                        double stop = rules.lease().seconds() * 2 * random.nextDouble();
+                        int of = process;
+                        stopFor(stop);
+                        time.after(stop + 0.001, () -> {
+                            if (up && of == process) {
+                                links.send(place, SINK, () -> sink(duty, token));
+                            }
+                        });
+                        break;
+                    }
+                }
+            }
+            after(Span.ofSeconds(POLL), this::poll);
+        }
+
+        private void audit(DutyName duty, Token token) {
+            for (Node other : nodes) {
+                if (other != this && other.runs()) {
+                    Token also = other.session.holding().mayAct(duty, other.now());
+                    if (also != null) {
+                        breaks("two may do " + duty + " at " + time.now() / 1e9 + ": " + name + " under " + token + ", "
+                                + other.name + " under " + also);
+                    }
+                }
+            }
+        }
+
+        boolean leads() {
+            return up && council != null && council.isLeading();
+        }
+
+        boolean holds(DutyName duty) {
+            return runs() && session.holding().mayAct(duty, now()) != null;
+        }
+    }
+
+    private static final int SINK = 1_000_000;
+
+    final MadeUpTime time = new MadeUpTime();
+    final MadeUpLinks links;
+    final List<Node> nodes = new ArrayList<>();
+    final Rules rules;
+    private final Rules councilRules;
+    private final Without without;
+    private final int zones;
+    private final Random random;
+    private final Map<NodeName, Node> byName = new HashMap<>();
+    private final List<NodeName> voterNames = new ArrayList<>();
+    private final Map<DutyName, Token> highest = new HashMap<>();
+    final List<String> broken = new ArrayList<>();
+    private final Map<Integer, NodeName> leaders = new HashMap<>();
+    private long diesVotingUntil;
+    private final Map<DutyName, Long> unheldSince = new HashMap<>();
+    final List<Double> gaps = new ArrayList<>();
+    /** Hears what councils log. */
+    Consumer<String> trace = text -> { };
+    long sampled;
+    long held;
+    long acts;
+    long refused;
+    long beats;
+
+    /** @param drift how far clocks run apart for certain, as a share */
+    TimedFleet(int voters, int members, int zones, Rules rules, double drift, Without without, long seed) {
+        random = new Random(seed);
+        this.zones = zones;
+        this.without = without;
+        this.rules = without == Without.DRIFT ? Rules.of(rules.lease(), 0) : rules;
+        councilRules = this.rules;
+        links = new MadeUpLinks(time, new Random(random.nextLong()));
+        for (int i = 0; i < voters + members; i++) {
+            // Some at the bound itself, fast and slow.
+            double rate = 1 + drift / 2 * (i % 3 - 1);
+            Node node = new Node(i, i < voters, rate, random.nextInt(1 << 30) * 1000L);
+            nodes.add(node);
+            byName.put(node.name, node);
+            if (node.votes) {
+                voterNames.add(node.name);
+            }
+        }
+    }
+
+    void startAll() {
+        nodes.forEach(Node::start);
+        sample();
+    }
+
+    private void breaks(String what) {
+        if (broken.size() < 20) {
+            broken.add(what);
+        }
+    }
+
+    /** What acts reach: it refuses a token lower than it has seen. */
+    private void sink(DutyName duty, Token token) {
+        Token most = highest.get(duty);
+        boolean lower = most != null && token.compareTo(most) < 0;
+        if (lower && without != Without.TOKEN) {
+            refused++;
+            return;
+        }
+        acts++;
+        if (lower) {
+            breaks("an act of " + duty + " under " + token + " was taken after one under " + most);
+        } else {
+            highest.put(duty, token);
+        }
+    }
+
+    /** For some seconds each voter that votes for another dies of it, and comes back at once. */
+    void dieVoting(double seconds) {
+        diesVotingUntil = time.now() + Math.round(seconds * 1e9);
+    }
+
+    /** Whether a majority of voters runs and can talk both ways, through one of them at least. */
+    private boolean couldAgree() {
+        List<Node> voters = nodes.stream().filter(node -> node.votes).toList();
+        return voters.stream().anyMatch(one -> one.runs() && voters.stream().filter(other -> other == one
+                || other.runs() && !links.isCut(one.place, other.place) && !links.isCut(other.place, one.place))
+                .count() * 2 > voters.size());
+    }
+
+    private void sample() {
+        boolean could = couldAgree();
+        for (DutyName duty : DUTIES) {
+            boolean isHeld = nodes.stream().anyMatch(node -> node.holds(duty));
+            if (could) {
+                sampled++;
+                held += isHeld ? 1 : 0;
+            }
+            if (isHeld || !could) {
+                Long since = unheldSince.remove(duty);
+                if (since != null && isHeld) {
+                    gaps.add((time.now() - since) / 1e9 / rules.lease().seconds());
+                }
+            } else {
+                unheldSince.putIfAbsent(duty, time.now());
+            }
+        }
+        time.after(SAMPLE, this::sample);
+    }
+
+    /** Each node whose place fits. */
+    void each(Predicate<Node> which, Consumer<Node> job) {
+        nodes.stream().filter(which).forEach(job);
+    }
+}
--- a/src/test/java/lupinwood/lab/LabTest.java
+++ b/src/test/java/lupinwood/lab/LabTest.java
@@ -77,4 +77,13 @@
         assertThat(outcome.broken()).isEmpty();
         assertThat(outcome.line()).contains("reloads 25", "mute", "half-written", "refused");
     }
+
+    @Test
+    void noTwoDoOneDutyInMadeUpTimeAndEachSafeguardLeftOutIsFound() throws Exception {
+        Experiment.Outcome outcome =
+                Experiments.named("duties-time", 1, 100, new PrintStream(printed, true), log).run();
+        assertThat(outcome.broken()).isEmpty();
+        assertThat(outcome.line()).contains("schedules 100", "without TOKEN found", "without EARLY_STOP found",
+                "without DRIFT found", "without DURABLE_VOTE found");
+    }
 }
