--- a/src/main/java/lupinwood/cli/DrillCommand.java
+++ b/src/main/java/lupinwood/cli/DrillCommand.java
@@ -1,29 +1,12 @@
 package lupinwood.cli;
 
 import com.beust.jcommander.Parameters;
-import java.io.FileDescriptor;
-import java.io.FileInputStream;
-import java.io.FileOutputStream;
-import java.io.IOException;
-import lupinwood.Brain;
-import lupinwood.sim.Drill;
-import lupinwood.sim.MalformedFrame;
 
-/** Plays the decisions on the simulator's wire. */
+/** The command 'drill'. Its work stands in a class of its own, so that other commands load nothing of it. */
 @Parameters(commandDescription = "Play the decisions on the simulator's wire, on standard input and output")
 final class DrillCommand implements Command {
     @Override
     public int run() {
-        try {
-            new Drill(Brain::new)
-                    .play(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out));
-            return 0;
-        } catch (MalformedFrame e) {
-            System.err.println("lupinwood: malformed frame: " + e.getMessage());
-            return 1;
-        } catch (IOException e) {
-            System.err.println("lupinwood: the wire broke: " + e.getMessage());
-            return 1;
-        }
+        return new DrillWork().run();
     }
 }
--- a/src/main/java/lupinwood/cli/LabCommand.java
+++ b/src/main/java/lupinwood/cli/LabCommand.java
@@ -23,9 +23,12 @@
     @Parameter(names = "--seed", description = "Where chance begins")
     private long seed = 1;
 
-    @Parameter(names = "--size", description = "How many steps, where it has any; 0 for its usual number")
+    @Parameter(names = "--size", description = "How many steps, or nodes, where it has any; 0 for its usual number")
     private int size;
 
+    @Parameter(names = "--seconds", description = "How long, where that can be chosen; 0 for as usual")
+    private int seconds;
+
     @Parameter(names = "--log", description = "Print the node's log too, on standard error")
     private boolean logs;
 
@@ -34,7 +37,7 @@
         // Without --log nobody drains it: it keeps a bounded number of lines and drops the rest.
         Log log = logs ? Log.start() : new Log(new PrintStream(new ByteArrayOutputStream()), Instant::now);
         LibraryLogs.sendTo(log);
-        Experiment experiment = Experiments.named(name, seed, size, System.out, log);
+        Experiment experiment = Experiments.named(name, seed, size, seconds, System.out, log);
         if (experiment == null) {
             System.err.println("lupinwood: there is no experiment " + name + "; there is: " + Experiments.NAMES);
             return USAGE;
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -61,6 +61,8 @@
 
     private Moment now;
     private Node node;
+    /** When the executor was started; null before its first word. */
+    private Moment bornAt;
     /** Whether the executor was cold when the node was made. */
     private boolean bornCold;
     private double advice = -1;
@@ -248,11 +250,17 @@
         bornCold = cold;
         Moment present = now;
         now = now.minus(age);
+        bornAt = now;
         node = maker.make(this, seed, told(settings));
         now = present;
         ports.log().accept("the executor is up, " + (cold ? "cold" : "warm"));
     }
 
+    /** Whether the executor is there, and warm, or started so long ago that it is. */
+    public boolean isWarm(Span warmAfter) {
+        return bornAt != null && (!bornCold || now.since(bornAt).compareTo(warmAfter) >= 0);
+    }
+
     private Map<String, String> told(Map<String, String> from) {
         Map<String, String> told = new HashMap<>(from);
         told.put("domain.cold", Boolean.toString(bornCold));
--- a/src/main/java/lupinwood/council/Council.java
+++ b/src/main/java/lupinwood/council/Council.java
@@ -1,5 +1,6 @@
 package lupinwood.council;
 
+import io.microraft.MembershipChangeMode;
 import io.microraft.Ordered;
 import io.microraft.QueryPolicy;
 import io.microraft.RaftConfig;
@@ -9,6 +10,7 @@
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RaftStore;
 import io.microraft.persistence.RestoredRaftState;
+import io.microraft.report.RaftGroupMembers;
 import io.microraft.report.RaftTerm;
 import io.microraft.statemachine.StateMachine;
 import io.microraft.transport.Transport;
@@ -48,8 +50,13 @@
  * later began after every word that a holder may count from.
  */
 public final class Council {
-    /** What it works with. */
-    public record Means(Loop loop, BiConsumer<NodeName, RaftMessage> post, RaftStore store, RestoredRaftState restored,
+    /**
+     * What it works with.
+     *
+     * @param post takes a message to the voter of an id
+     * @param restored what the folder held; null for one that never voted
+     */
+    public record Means(Loop loop, BiConsumer<String, RaftMessage> post, RaftStore store, RestoredRaftState restored,
             Random random, Consumer<String> log) {}
 
     /** What one voter says of the council. */
@@ -86,6 +93,7 @@
     private List<Waiting> waiting = new ArrayList<>();
     private boolean confirming;
     private int ledTerm = -1;
+    private boolean changing;
     private boolean over;
 
     /** @param tokensAbove where tokens begin should this be the council's first leader ever */
@@ -266,6 +274,43 @@
         return ids;
     }
 
+    /** The id by which this voter votes. */
+    public String endpoint() {
+        return RaftText.id(raft.getLocalEndpoint());
+    }
+
+    /**
+     * Lets a voter in that lost its folder, under its new id, one step at a time and at each asking: the id that it had
+     * goes first, so that what it may have promised under it binds nobody to a vote it no longer knows of.
+     */
+    void admit(String id) {
+        RaftGroupMembers members = raft.getCommittedMembers();
+        Voter one = new Voter(id);
+        if (!leads() || changing || members.getVotingMembers().contains(one)) {
+            return;
+        }
+        Optional<RaftEndpoint> old = members.getMembers().stream()
+                .filter(other -> !other.equals(one) && Voter.of(other).name().equals(one.name())).findFirst();
+        MembershipChangeMode mode = old.isPresent() ? MembershipChangeMode.REMOVE_MEMBER
+                : members.getMembers().contains(one) ? MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER
+                : MembershipChangeMode.ADD_LEARNER;
+        changing = true;
+        raft.changeMembership(old.orElse(one), mode, members.getLogIndex()).whenComplete((done, failed) -> {
+            changing = false;
+            if (failed == null) {
+                means.log().accept("written: " + mode + " " + RaftText.id(old.orElse(one)));
+            }
+        });
+    }
+
+    /** Has another voter lead, where there is one: a leader that goes by itself leaves no gap. */
+    void handOver() {
+        if (leads()) {
+            raft.getCommittedMembers().getVotingMembers().stream().filter(one -> !one.equals(raft.getLocalEndpoint()))
+                    .findFirst().ifPresent(raft::transferLeadership);
+        }
+    }
+
     public boolean isLeading() {
         return leads();
     }
@@ -301,7 +346,7 @@
     private final class Post implements Transport {
         @Override
         public void send(RaftEndpoint target, RaftMessage message) {
-            means.post().accept(Voter.of(target).name(), message);
+            means.post().accept(RaftText.id(target), message);
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -0,0 +1,443 @@
+package lupinwood.council;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import lupinwood.fleet.Beat;
+import lupinwood.fleet.Condition;
+import lupinwood.fleet.Deed;
+import lupinwood.fleet.DutyName;
+import lupinwood.fleet.Grant;
+import lupinwood.fleet.Life;
+import lupinwood.fleet.NodeName;
+import lupinwood.fleet.Reply;
+import lupinwood.fleet.Session;
+import lupinwood.fleet.Steward;
+import lupinwood.fleet.Token;
+import lupinwood.log.Log;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+
+/**
+ * One node's part in its fleet: its talk with the council, the duties it holds, and where it is a voter, its part in the
+ * council itself. All on a thread of its own; the deciding thread only reads {@link #view}. Whatever happens here, the
+ * node serves on.
+ */
+public final class Fleet {
+    public static final List<DutyName> DUTIES = List.of(DutyName.KEEPER, DutyName.TRIAL);
+    private static final Gson GSON = new Gson();
+    private static final Span LOOK = Span.ofSeconds(0.02);
+    private static final double KEEP_EVERY = 5; // leases
+    private static final Span FOUNDING_EVERY = Span.ofSeconds(0.3);
+
+    /** What this node says of itself. */
+    public record Self(Supplier<Condition> condition, Supplier<List<String>> leftOut) {}
+
+    private final FleetSettings settings;
+    private final Self self;
+    private final Log log;
+    private final RealLoop loop;
+    private final Carriage carriage;
+    private final Random random = new Random();
+    private final Life life = new Life(random.nextLong());
+    private final Session session;
+    private final Set<Grant> known = new HashSet<>();
+    /** The reply whose findings are in the view. */
+    private Reply toldOf;
+    private List<FleetView.Found> found = List.of();
+    private volatile FleetView view = FleetView.NONE;
+    private volatile boolean leaving;
+    private Folder folder;
+    /** Null before this voter takes part, and in a node that is none. */
+    private Council council;
+    private Founding founding;
+    private KeeperWork keeper;
+    private boolean over;
+
+    public Fleet(FleetSettings settings, Self self, Log log) {
+        this.settings = settings;
+        this.self = self;
+        this.log = log;
+        loop = new RealLoop(log);
+        carriage = new Carriage(this::heard, log);
+        session = new Session(settings.rules(), settings.name(), life, settings.site(), settings.names(),
+                random.nextLong(), loop.now());
+    }
+
+    /** An address in use and a folder that can't be used are told by the exception; all else happens by and by. */
+    public void start() throws IOException {
+        if (settings.votes()) {
+            folder = Folder.open(settings.folder(), text -> loop.execute(() -> folderFailed(text)));
+            RestoredRaftState kept = folder.restore();
+            Founding.State state = Founding.of(kept);
+            founding = new Founding(settings.name(), settings.names(), state, FOUNDING_EVERY.times(4));
+            carriage.listen(settings.listen());
+            log.line("fleet: a voter, " + switch (state) {
+                case EMPTY -> "with nothing kept: founds the council, or comes anew to one that is";
+                case FOUNDS -> "founding the council";
+                case VOTES -> "with what it kept";
+            });
+            loop.execute(state == Founding.State.VOTES ? () -> takePart(kept, null) : this::found);
+        }
+        keeper = settings.report() == null ? null : new KeeperWork(settings.report(), log);
+        loop.execute(this::talk);
+        loop.execute(this::look);
+        log.line("fleet: " + settings.name() + " in " + settings.site() + ", life " + life + ", voters " + settings.names());
+    }
+
+    // ---- becoming a voter ----
+
+    private void found() {
+        if (over || council != null) {
+            return;
+        }
+        try {
+            switch (founding.step(loop.now())) {
+                case FOUND -> {
+                    Founding.write(folder, settings.name(), settings.names());
+                    founding.founded();
+                    log.line("fleet: founds the council with " + settings.names());
+                }
+                case TAKE_PART -> {
+                    takePart(folder.restore(), null);
+                    return;
+                }
+                case COME_ANEW -> {
+                    String id = settings.name().text() + "~" + Integer.toHexString(random.nextInt());
+                    log.line("fleet: the council has this voter's votes, its folder hasn't: comes anew as " + id);
+                    takePart(null, id);
+                    return;
+                }
+                default -> { }
+            }
+        } catch (IOException e) {
+            folderFailed(e.getMessage());
+            return;
+        }
+        askOthers(Founding.ask(settings.name()));
+        loop.after(FOUNDING_EVERY, this::found);
+    }
+
+    private void askOthers(JsonObject text) {
+        settings.voters().forEach((name, address) -> {
+            if (!name.equals(settings.name())) {
+                carriage.say(address, text);
+            }
+        });
+    }
+
+    private void takePart(RestoredRaftState kept, String newId) {
+        String id = newId != null ? newId : settings.name().text();
+        List<String> founders = settings.names().stream().map(NodeName::text).toList();
+        // The seconds of the wall clock matter once in a council's life: tokens of a lost one stay lower.
+        long above = System.currentTimeMillis() / 1000 * 1000;
+        council = new Council(settings.name(), id, founders, settings.rules(), DUTIES, above,
+                new Council.Means(loop, this::post, folder, kept, random, text -> log.line("fleet: " + text)));
+        council.start();
+        askIn();
+    }
+
+    /** Until the council counts it among its voters. */
+    private void askIn() {
+        if (over || council == null || council.voters().contains(council.endpoint())) {
+            return;
+        }
+        JsonObject text = new JsonObject();
+        text.addProperty("k", "admit");
+        text.addProperty("id", council.endpoint());
+        askOthers(text);
+        loop.after(FOUNDING_EVERY, this::askIn);
+    }
+
+    private void folderFailed(String why) {
+        log.line("fleet: the folder failed, this voter votes no more until it is started anew: " + why);
+        if (council != null) {
+            council.stop();
+            council = null;
+        }
+        founding = null;
+    }
+
+    private void post(String to, RaftMessage message) {
+        int mark = to.indexOf('~');
+        InetSocketAddress address = settings.voters().get(new NodeName(mark < 0 ? to : to.substring(0, mark)));
+        if (address != null) {
+            JsonObject text = new JsonObject();
+            text.addProperty("k", "raft");
+            text.addProperty("to", to);
+            text.add("m", RaftText.of(message));
+            carriage.say(address, text);
+        }
+    }
+
+    // ---- what others say ----
+
+    /** On the carriage's thread. */
+    private void heard(Carriage.Peer from, JsonObject text) {
+        String kind = text.get("k").getAsString();
+        switch (kind) {
+            case "raft" -> {
+                RaftMessage message = RaftText.message(text.getAsJsonObject("m"), Council.GROUP);
+                String to = text.get("to").getAsString();
+                loop.offer(() -> {
+                    if (council != null && council.endpoint().equals(to)) {
+                        council.heard(message);
+                    }
+                });
+            }
+            case "beat" -> {
+                Beat beat = GSON.fromJson(text.get("b"), Beat.class);
+                loop.offer(() -> beat(beat, from));
+            }
+            case "reply" -> {
+                Reply reply = GSON.fromJson(text.get("r"), Reply.class);
+                loop.offer(() -> replied(reply));
+            }
+            case "who" -> {
+                NodeName name = new NodeName(text.get("from").getAsString());
+                loop.offer(() -> {
+                    if (founding != null && settings.voters().containsKey(name)) {
+                        Founding.State state = council != null ? Founding.State.VOTES : founding.state();
+                        carriage.say(settings.voters().get(name), Founding.tell(settings.name(), state));
+                    }
+                });
+            }
+            case "am" -> {
+                NodeName name = new NodeName(text.get("from").getAsString());
+                Founding.State state = Founding.State.valueOf(text.get("state").getAsString());
+                loop.offer(() -> {
+                    if (founding != null) {
+                        founding.heard(name, state, loop.now());
+                    }
+                });
+            }
+            case "admit" -> {
+                String id = text.get("id").getAsString();
+                loop.offer(() -> {
+                    if (council != null && settings.voters().containsKey(new Voter(id).name())) {
+                        council.admit(id);
+                    }
+                });
+            }
+            case "keep" -> {
+                Deed.Keep keep = GSON.fromJson(text.get("d"), Deed.Keep.class);
+                loop.offer(() -> {
+                    if (council != null && keep.digest().length() < 4096) {
+                        council.write(keep, done -> { });
+                    }
+                });
+            }
+            case "ask" -> loop.offer(() -> from.say(told(text)));
+            case "told" -> {
+                JsonElement state = text.get("state");
+                loop.offer(() -> keep(state));
+            }
+            default -> { } // of a newer version
+        }
+    }
+
+    private void beat(Beat beat, Carriage.Peer from) {
+        Consumer<Reply> to = reply -> {
+            JsonObject text = new JsonObject();
+            text.addProperty("k", "reply");
+            text.add("r", GSON.toJsonTree(reply));
+            from.say(text);
+        };
+        if (council == null) {
+            to.accept(Steward.elsewhere(beat, null));
+        } else {
+            council.heard(beat, to);
+        }
+    }
+
+    /** What this voter knows, for who asks. */
+    private JsonObject told(JsonObject question) {
+        JsonObject text = new JsonObject();
+        text.addProperty("k", "told");
+        text.addProperty("leads", council != null && council.isLeading());
+        text.addProperty("leader", council == null || council.leader() == null ? "" : council.leader().text());
+        text.add("number", question.get("number"));
+        text.add("state", council == null ? new JsonObject() : GSON.toJsonTree(council.state()));
+        return text;
+    }
+
+    // ---- this node's own talk ----
+
+    private void talk() {
+        if (over) {
+            return;
+        }
+        Moment now = loop.now();
+        session.leavesOut(self.leftOut().get());
+        Session.Sent sent = session.beat(leaving ? Condition.LEAVING : self.condition().get(), now);
+        if (sent != null) {
+            say(sent);
+        }
+        loop.after(session.due().since(now).max(LOOK).min(settings.rules().beat()), this::talk);
+    }
+
+    private void say(Session.Sent sent) {
+        JsonObject text = new JsonObject();
+        text.addProperty("k", "beat");
+        text.add("b", GSON.toJsonTree(sent.beat()));
+        carriage.say(settings.voters().get(sent.to()), text);
+    }
+
+    private void replied(Reply reply) {
+        String before = session.latest() == null ? "" : session.latest().trouble();
+        session.heard(reply, loop.now());
+        if (reply.taken() && !reply.trouble().equals(before)) {
+            log.line(reply.trouble().isEmpty() ? "fleet: no longer outside" : "fleet: outside, since " + reply.trouble());
+        }
+        publish();
+    }
+
+    private void publish() {
+        Moment now = loop.now();
+        List<FleetView.Held> held = new ArrayList<>();
+        session.holding().holds(now).forEach(grant -> held.add(new FleetView.Held(grant.duty(), grant.token(),
+                now.plus(session.holding().left(grant.duty(), now)))));
+        Reply latest = session.latest();
+        if (latest != toldOf && latest != null) {
+            toldOf = latest;
+            found = latest.found().stream().map(one -> new FleetView.Found(one.server(), one.well(),
+                    session.latestWord().minus(one.age()))).toList();
+        }
+        Moment touch = session.isInTouch(now) ? session.latestWord().plus(settings.rules().lease())
+                : new Moment(Long.MIN_VALUE);
+        view = new FleetView(touch, held, found, latest == null ? null : latest.leader());
+        Set<Grant> holds = new HashSet<>(session.holding().holds(now));
+        List<Grant> news = new ArrayList<>(holds);
+        news.removeAll(known);
+        news.sort(Comparator.comparing(Grant::token));
+        news.forEach(grant -> log.line("fleet: holds " + grant.duty() + " under " + grant.token()));
+        known.stream().filter(grant -> !holds.contains(grant))
+                .forEach(grant -> log.line("fleet: holds " + grant.duty() + " no more, under " + grant.token()));
+        known.clear();
+        known.addAll(holds);
+    }
+
+    /** What this node does by its duties, again and again. */
+    private void look() {
+        if (over) {
+            return;
+        }
+        publish();
+        Token token = session.holding().mayAct(DutyName.KEEPER, loop.now());
+        if (token != null) {
+            JsonObject ask = new JsonObject();
+            ask.addProperty("k", "ask");
+            ask.addProperty("number", token.number());
+            carriage.say(settings.voters().get(session.talksTo()), ask);
+        }
+        loop.after(settings.rules().beatHolding().times(0.5), this::look);
+    }
+
+    private Moment keptAt = new Moment(Long.MIN_VALUE / 2);
+
+    /** The keeper has the picture: it is told outside, and from time to time written down. */
+    private void keep(JsonElement state) {
+        Token token = session.holding().mayAct(DutyName.KEEPER, loop.now());
+        if (token == null || !state.isJsonObject() || !state.getAsJsonObject().has("seen")) {
+            return;
+        }
+        if (keeper != null && !keeper.tell(token, GSON.toJson(state),
+                () -> token.equals(view.mayAct(DutyName.KEEPER, loop.now())), bad -> loop.execute(() -> keeperFails(bad)))) {
+            return;
+        }
+        Moment now = loop.now();
+        if (now.since(keptAt).compareTo(settings.rules().lease().times(KEEP_EVERY)) > 0) {
+            keptAt = now;
+            JsonObject text = new JsonObject();
+            text.addProperty("k", "keep");
+            text.add("d", GSON.toJsonTree(new Deed.Keep(token, state.getAsJsonObject().getAsJsonArray("seen").size()
+                    + " nodes known")));
+            carriage.say(settings.voters().get(session.talksTo()), text);
+        }
+    }
+
+    private void keeperFails(String why) {
+        log.line("fleet: can't keep the picture, hands the duty on: " + why);
+        session.failAt(DutyName.KEEPER, loop.now());
+        publish();
+    }
+
+    // ---- for the rest of the node ----
+
+    /** Read by any thread; never waits. */
+    public FleetView view() {
+        return view;
+    }
+
+    /** What a try under the duty trial came to. */
+    public void found(String server, boolean well, Token token) {
+        loop.offer(() -> session.found(server, well, token, loop.now()));
+    }
+
+    /** The node leaves: its duties go to heirs while it drains. Returns at once. */
+    public void leave() {
+        leaving = true;
+        loop.execute(() -> {
+            session.handOnAll(loop.now());
+            publish();
+            talkNow(Condition.LEAVING);
+            if (council != null) {
+                council.handOver();
+            }
+        });
+    }
+
+    private void talkNow(Condition condition) {
+        Session.Sent sent = session.beat(condition, loop.now());
+        if (sent != null) {
+            say(sent);
+        }
+    }
+
+    /** The last word, and the end; takes as long at the most. */
+    public void end(Span most) {
+        CountDownLatch said = new CountDownLatch(1);
+        loop.execute(() -> {
+            session.handOnAll(loop.now());
+            say(session.last(loop.now()));
+            loop.after(most.times(0.5), said::countDown);
+        });
+        try {
+            said.await(most.nanos(), TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        loop.execute(() -> {
+            over = true;
+            if (council != null) {
+                council.stop();
+            }
+        });
+        loop.end();
+        carriage.end();
+        if (folder != null) {
+            folder.close();
+        }
+    }
+
+    /** For the log: what is known here now. */
+    public String figures() {
+        FleetView now = view;
+        return "fleet: " + (now.isInTouch(loop.now()) ? "in touch with " + now.leader() : "alone") + ", holds " + known.size()
+                + ", bytes " + carriage.bytes() + (folder == null ? "" : ", syncs " + folder.flushes());
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/council/FleetSettings.java
@@ -0,0 +1,63 @@
+package lupinwood.council;
+
+import java.math.BigDecimal;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import lupinwood.fleet.NodeName;
+import lupinwood.fleet.Rules;
+import lupinwood.fleet.Site;
+import lupinwood.node.Span;
+import lupinwood.settings.Meaning;
+import lupinwood.settings.Schema;
+
+/**
+ * What the operator's file says of the fleet.
+ *
+ * @param voters where each voter is reached, in the file's order
+ * @param listen where this node listens for others; null unless it is a voter
+ * @param folder where a voter keeps what it must not forget; null unless it is one
+ * @param report where the keeper tells the fleet's picture; null for nowhere
+ */
+public record FleetSettings(NodeName name, Site site, Map<NodeName, InetSocketAddress> voters, InetSocketAddress listen,
+        Path folder, InetSocketAddress report, Rules rules) {
+    private static final BigDecimal LEASE = new BigDecimal(3_000_000_000L);
+    private static final BigDecimal DRIFT = new BigDecimal("0.01");
+
+    /** Null where the file says nothing of a fleet. */
+    public static FleetSettings of(Meaning meaning) {
+        List<String> names = meaning.items(Schema.VOTER);
+        if (names.isEmpty()) {
+            return null;
+        }
+        Map<NodeName, InetSocketAddress> voters = new LinkedHashMap<>();
+        names.forEach(name -> voters.put(new NodeName(name), address(meaning.value("voter " + name + " address"))));
+        String name = meaning.value("name");
+        boolean votes = names.contains(name);
+        String listen = meaning.value("fleet listen");
+        Span lease = new Span(meaning.number("fleet lease", LEASE).longValue());
+        Rules rules = Rules.of(lease, meaning.number("fleet drift", DRIFT).doubleValue());
+        return new FleetSettings(new NodeName(name == null ? "" : name),
+                new Site(meaning.values().getOrDefault("fleet region", "region"),
+                        meaning.values().getOrDefault("fleet zone", "zone")), voters,
+                !votes ? null : listen != null ? address(listen) : voters.get(new NodeName(name)),
+                votes ? Path.of(meaning.values().getOrDefault("fleet folder", "")) : null,
+                meaning.value("fleet report") == null ? null : address(meaning.value("fleet report")), rules);
+    }
+
+    public boolean votes() {
+        return listen != null;
+    }
+
+    List<NodeName> names() {
+        return new ArrayList<>(voters.keySet());
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+}
--- a/src/main/java/lupinwood/council/Folder.java
+++ b/src/main/java/lupinwood/council/Folder.java
@@ -241,7 +241,7 @@
         if (broken) {
             store.closeImmediately();
         } else {
-            store.close();
+            store.close(0); // compacting is for quiet hours
         }
     }
 }
--- a/src/main/java/lupinwood/fleet/Session.java
+++ b/src/main/java/lupinwood/fleet/Session.java
@@ -83,6 +83,12 @@
                 List.copyOf(handsOn.values()), List.copyOf(failsAt.values()), leftOut, aged).cut());
     }
 
+    /** The last beat of this life, with all duties handed on. */
+    public Sent last(Moment now) {
+        next = now;
+        return beat(Condition.GONE, now);
+    }
+
     private Span pause(Condition condition, Moment now) {
         boolean urgent = !holding.holds(now).isEmpty() || !handsOn.isEmpty() || condition == Condition.LEAVING;
         Span usual = urgent ? rules.beatHolding() : rules.beat();
--- a/src/main/java/lupinwood/lab/Audit.java
+++ b/src/main/java/lupinwood/lab/Audit.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -19,6 +21,7 @@
     private final Map<String, Integer> runsOf = new HashMap<>();
     private final Map<String, Integer> counts = new TreeMap<>();
     private final List<String> broken = new ArrayList<>();
+    private final Set<String> excused = new HashSet<>();
     private long slackMillis = 100;
 
     synchronized void sent(String id, Sent ticket) {
@@ -28,6 +31,9 @@
 
     /** @param word as the node said it */
     synchronized void answer(String id, String word, String result, long nowMillis) {
+        if (excused.remove(id)) {
+            return;
+        }
         Sent ticket = open.remove(id);
         if (answered.merge(id, 1, Integer::sum) > 1) {
             breaks("two answers to " + id);
@@ -68,6 +74,15 @@
         counts.merge(what, 1, Integer::sum);
     }
 
+    /** What is open now ended with its process, or was held up with it: what becomes of it is nobody's fault. */
+    synchronized void excuse() {
+        open.keySet().forEach(id -> {
+            excused.add(id);
+            count("excused");
+        });
+        open.clear();
+    }
+
     synchronized int openTickets() {
         return open.size();
     }
--- /dev/null
+++ b/src/main/java/lupinwood/lab/DutiesRun.java
@@ -0,0 +1,175 @@
+package lupinwood.lab;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import lupinwood.log.Log;
+
+/**
+ * Duties among real processes, with faults between them by a schedule that the seed makes: the auditor counts at the
+ * sockets, and never finds an act under two tokens, one taken out of order, or a ticket that broke a rule.
+ */
+final class DutiesRun implements Experiment {
+    private static final int VOTERS = 3;
+    private static final long LEASE_MILLIS = 3000;
+    private static final int TICKETS_EVERY = 25;
+    private static final double LEAST_HELD = 0.5;
+
+    private interface Job {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private record Fault(double at, double lasts, String what, Job begin, Job end) {}
+
+    private final long seed;
+    private final int nodes;
+    private final int seconds;
+    private final Log log;
+
+    /** @param seconds how long, beside the start and the end */
+    DutiesRun(long seed, int nodes, int seconds, Log log) {
+        this.seed = seed;
+        this.nodes = nodes;
+        this.seconds = seconds;
+        this.log = log;
+    }
+
+    @Override
+    public Outcome run() throws Exception {
+        List<String> broken = new ArrayList<>();
+        try (ProcessFleet fleet = new ProcessFleet(VOTERS, nodes, LEASE_MILLIS, TICKETS_EVERY, true, seed, log::line)) {
+            fleet.startAll();
+            await(fleet, 30);
+            List<Fault> faults = schedule(fleet);
+            String told = faults.stream().map(one -> String.format(Locale.ROOT, "%.1f+%.1f %s", one.at(), one.lasts(),
+                    one.what())).toList().toString();
+            log.line("schedule: " + told);
+            double held = play(fleet, faults);
+            broken.addAll(fleet.leaveAll());
+            if (fleet.sink.acts() == 0) {
+                broken.add("nobody ever held the duty");
+            } else if (held < LEAST_HELD) {
+                broken.add(String.format(Locale.ROOT, "the duty was done in %.2f of the time only", held));
+            }
+            if (!broken.isEmpty()) {
+                broken.add("the schedule was " + told);
+            }
+            return new Outcome(String.format(Locale.ROOT, "duties: nodes %d, faults %d, %s, done in %.3f of the time, tickets %d,"
+                    + " satisfied %d, bounced %d, abandoned %d, excused %d, broken %d", nodes, faults.size(),
+                    fleet.sink.line(LEASE_MILLIS), held, fleet.count("sent"), fleet.count("satisfied"),
+                    fleet.count("bounced"), fleet.count("abandoned"), fleet.count("excused"), broken.size()), broken);
+        }
+    }
+
+    private static void await(ProcessFleet fleet, int within) throws InterruptedException {
+        for (int i = 0; i < within * 20 && fleet.sink.acts() == 0; i++) {
+            Thread.sleep(50);
+        }
+    }
+
+    private List<Fault> schedule(ProcessFleet fleet) {
+        Random random = new Random(seed);
+        List<Fault> faults = new ArrayList<>();
+        for (double at = 2; at < seconds - 8; at += 3 + random.nextDouble() * 5) {
+            faults.add(fault(fleet, random, at));
+        }
+        return faults;
+    }
+
+    /** One at a time: each ends before the next begins to count, or overlaps it by chance. */
+    private Fault fault(ProcessFleet fleet, Random random, double at) {
+        double lasts = 0.5 + random.nextDouble() * 6;
+        ProcessFleet.Member one = fleet.members.get(random.nextInt(nodes));
+        ProcessFleet.Member[] holder = new ProcessFleet.Member[1];
+        return switch (random.nextInt(8)) {
+            case 0 -> new Fault(at, lasts, "the holder is stopped", () -> {
+                holder[0] = holder(fleet, one);
+                stop(holder[0]);
+            }, () -> goOn(holder[0]));
+            case 1 -> new Fault(at, lasts, "the holder is killed", () -> {
+                holder[0] = holder(fleet, one);
+                holder[0].kill();
+            }, () -> holder[0].start());
+            case 2 -> new Fault(at, lasts, "the holder is cut from the council", () -> {
+                holder[0] = holder(fleet, one);
+                fleet.link(holder[0], Link::cut);
+            }, () -> fleet.link(holder[0], Link::mend));
+            case 3 -> new Fault(at, lasts, "the holder is cut from what it acts on", () -> {
+                holder[0] = holder(fleet, one);
+                holder[0].toSink.cut();
+            }, () -> holder[0].toSink.mend());
+            case 4 -> new Fault(at, lasts, "what " + one.process.name() + " hears of the council is lost",
+                    () -> fleet.link(one, link -> link.swallow(false, true)), () -> fleet.link(one, Link::mend));
+            case 5 -> new Fault(at, lasts, "zone " + one.place % ProcessFleet.ZONES + " is cut off",
+                    () -> fleet.zone(one.place % ProcessFleet.ZONES, VOTERS, Link::cut),
+                    () -> fleet.zone(one.place % ProcessFleet.ZONES, VOTERS, Link::mend));
+            case 6 -> {
+                ProcessFleet.Member voter = fleet.members.get(random.nextInt(VOTERS));
+                boolean forgets = random.nextInt(3) == 0;
+                yield new Fault(at, lasts, voter.process.name() + " is killed" + (forgets ? ", and its folder lost" : ""), () -> {
+                    voter.kill();
+                    if (forgets) {
+                        voter.process.forgetFolder();
+                    }
+                }, voter::start);
+            }
+            default -> new Fault(at, lasts, "all links of " + one.process.name() + " are slow",
+                    () -> fleet.link(one, link -> link.delay(150)), () -> fleet.link(one, Link::mend));
+        };
+    }
+
+    private static ProcessFleet.Member holder(ProcessFleet fleet, ProcessFleet.Member otherwise) {
+        String name = fleet.sink.holder();
+        return name.isEmpty() ? otherwise : fleet.members.get(Integer.parseInt(name.substring(1)));
+    }
+
+    private static void stop(ProcessFleet.Member member) throws IOException, InterruptedException {
+        member.heldUp();
+        member.process.stop();
+    }
+
+    private static void goOn(ProcessFleet.Member member) throws IOException, InterruptedException {
+        member.process.goOn();
+        Thread.sleep(50);
+        member.goesOn();
+    }
+
+    /** The share of time in which the duty was done lately. */
+    private double play(ProcessFleet fleet, List<Fault> faults) throws IOException, InterruptedException {
+        long begun = System.currentTimeMillis();
+        List<Fault> waiting = new ArrayList<>(faults);
+        List<Fault> open = new ArrayList<>();
+        int looks = 0;
+        int done = 0;
+        for (double now = 0; now < seconds; now = (System.currentTimeMillis() - begun) / 1000.0) {
+            if (!waiting.isEmpty() && waiting.get(0).at() <= now) {
+                Fault next = waiting.remove(0);
+                log.line(String.format(Locale.ROOT, "at %.1f s for %.1f s: %s", now, next.lasts(), next.what()));
+                next.begin().run();
+                open.add(next);
+            }
+            for (Fault over : open.stream().filter(one -> one.at() + one.lasts() <= (System.currentTimeMillis() - begun) / 1000.0)
+                    .toList()) {
+                over.end().run();
+                open.remove(over);
+            }
+            looks++;
+            done += System.currentTimeMillis() - fleet.sink.latest() < LEASE_MILLIS / 2 ? 1 : 0;
+            Thread.sleep(20);
+        }
+        for (Fault over : open) {
+            over.end().run();
+        }
+        for (ProcessFleet.Member member : fleet.members) {
+            fleet.link(member, Link::mend);
+            member.toSink.mend();
+            if (!member.process.isUp()) {
+                member.start();
+            }
+        }
+        Thread.sleep(3 * LEASE_MILLIS);
+        return (double) done / Math.max(1, looks);
+    }
+}
--- a/src/main/java/lupinwood/lab/Experiments.java
+++ b/src/main/java/lupinwood/lab/Experiments.java
@@ -5,16 +5,17 @@
 
 /** The runs by their names. */
 public final class Experiments {
-    public static final String NAMES = "tour, reload-storm, config-cost, pools, mixed-fronts, duties-time";
+    public static final String NAMES = "tour, reload-storm, config-cost, pools, mixed-fronts, duties-time, duties";
 
     private Experiments() {}
 
     /**
      * Null where there is none of that name.
      *
-     * @param size how many steps it has where it has any; 0 for its usual number
+     * @param size how many steps, or nodes, it has where it has any; 0 for its usual number
+     * @param seconds how long it takes where that can be chosen; 0 for as usual
      */
-    public static Experiment named(String name, long seed, int size, PrintStream out, Log log) {
+    public static Experiment named(String name, long seed, int size, int seconds, PrintStream out, Log log) {
         return switch (name) {
             case "tour" -> new Tour(seed, out, log);
             case "reload-storm" -> new ReloadStorm(seed, size > 0 ? size : 300, log);
@@ -22,6 +23,7 @@
             case "pools" -> new PoolsRun(seed);
             case "mixed-fronts" -> new MixedFronts(seed, size > 0 ? size : 400, log);
             case "duties-time" -> new DutiesInTime(seed, size > 0 ? size : 200, out);
+            case "duties" -> new DutiesRun(seed, size > 0 ? size : 12, seconds > 0 ? seconds : 60, log);
             default -> null;
         };
     }
--- /dev/null
+++ b/src/main/java/lupinwood/lab/NodeProcess.java
@@ -0,0 +1,151 @@
+package lupinwood.lab;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** One real node, 'serve' as a process of its own, that can be stopped, continued, killed and started again. */
+final class NodeProcess {
+    private static final int KEPT_LINES = 400;
+    private static final List<String> LIMITS = List.of("-XX:-UsePerfData", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+            "-Xms40m", "-Xmx40m", "-Xmn16m", "-Xss256k", "-XX:MaxMetaspaceSize=48m", "-XX:ReservedCodeCacheSize=16m");
+
+    private final String name;
+    private final Path folder;
+    private final Path config;
+    private final Consumer<String> hears;
+    private final Deque<String> lines = new ArrayDeque<>();
+    private volatile Process process;
+    private volatile boolean stopped;
+    private int starts;
+
+    /** @param hears hears each line of its log */
+    NodeProcess(String name, Path folder, String config, Consumer<String> hears) throws IOException {
+        this.name = name;
+        this.folder = folder;
+        this.hears = hears;
+        Files.createDirectories(folder);
+        this.config = folder.resolve("node.kdl");
+        Files.writeString(this.config, config);
+    }
+
+    static List<String> java(List<String> options, String... words) {
+        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
+        command.addAll(options);
+        String path = Stream.of(System.getProperty("java.class.path").split(File.pathSeparator))
+                .map(part -> Path.of(part).toAbsolutePath().toString()).collect(Collectors.joining(File.pathSeparator));
+        command.addAll(List.of("-cp", path, "lupinwood.cli.Main"));
+        command.addAll(List.of(words));
+        return command;
+    }
+
+    void start() throws IOException {
+        if (isUp()) {
+            return;
+        }
+        starts++;
+        stopped = false;
+        Process one = new ProcessBuilder(java(LIMITS, "serve", "--config", config.toString()))
+                .directory(folder.toFile()).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        process = one;
+        Door.daemon(() -> {
+            try (BufferedReader log = one.errorReader()) {
+                for (String line = log.readLine(); line != null; line = log.readLine()) {
+                    synchronized (lines) {
+                        lines.add(line);
+                        if (lines.size() > KEPT_LINES) {
+                            lines.poll();
+                        }
+                    }
+                    hears.accept(line);
+                }
+            } catch (IOException e) {
+                // It went.
+            }
+        });
+    }
+
+    String name() {
+        return name;
+    }
+
+    boolean isUp() {
+        return process != null && process.isAlive();
+    }
+
+    boolean isStopped() {
+        return stopped;
+    }
+
+    int starts() {
+        return starts;
+    }
+
+    private void signal(String which) throws IOException, InterruptedException {
+        if (isUp()) {
+            new ProcessBuilder("kill", "-" + which, Long.toString(process.pid())).start().waitFor();
+        }
+    }
+
+    void stop() throws IOException, InterruptedException {
+        stopped = true;
+        signal("STOP");
+    }
+
+    void goOn() throws IOException, InterruptedException {
+        signal("CONT");
+        stopped = false;
+    }
+
+    void kill() throws InterruptedException {
+        if (process != null) {
+            process.destroyForcibly();
+            process.waitFor(5, TimeUnit.SECONDS);
+        }
+        stopped = false;
+    }
+
+    /** The notice to leave; whether it went by itself, with 0. */
+    boolean leave(long withinSeconds) throws InterruptedException {
+        if (!isUp()) {
+            return true;
+        }
+        process.destroy();
+        return process.waitFor(withinSeconds, TimeUnit.SECONDS) && process.exitValue() == 0;
+    }
+
+    void forgetFolder() throws IOException {
+        Path kept = folder.resolve("council").resolve("council.mv");
+        Files.deleteIfExists(kept);
+    }
+
+    /** What the process has in memory, in megabytes; zero where that can't be told. */
+    long memoryMb() {
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+                if (line.startsWith("VmRSS:")) {
+                    return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024;
+                }
+            }
+        } catch (IOException e) {
+            return 0;
+        }
+        return 0;
+    }
+
+    List<String> lines() {
+        synchronized (lines) {
+            return new ArrayList<>(lines);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/lab/ProcessFleet.java
@@ -0,0 +1,290 @@
+package lupinwood.lab;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/**
+ * Real nodes as processes on loopback, the first of them voters, each with its executor, a caller who sends it tickets,
+ * and links of its own to each voter and to where the keeper reports. All stand-ins live here, in the one who plays.
+ */
+final class ProcessFleet implements Closeable {
+    private static final int ABANDON_MILLIS = 6000;
+
+    /** One node with all that belongs to it. */
+    final class Member {
+        final int place;
+        final NodeProcess process;
+        final List<Link> toVoters = new ArrayList<>();
+        final Link toSink;
+        final Audit audit = new Audit();
+        private final StandInExecutor executor = new StandInExecutor(2, audit, run -> { });
+        private final Door work = new Door(0, executor::talk);
+        private final Door sinkDoor;
+        private final int port = freePort();
+        private final Random chance;
+        private volatile Caller caller;
+        private volatile long heldUpUntil;
+        private volatile long heldUpFrom = Long.MAX_VALUE;
+
+        private Member(int place, List<Integer> voterPorts, DutySink sink) throws IOException {
+            this.place = place;
+            chance = new Random(random.nextLong());
+            String name = "n" + place;
+            for (int voter : voterPorts) {
+                toVoters.add(new Link(voter));
+            }
+            sinkDoor = new Door(0, sink.from(name));
+            toSink = new Link(sinkDoor.port());
+            process = new NodeProcess(name, at.resolve(name), config(name, place < voterPorts.size()
+                    ? voterPorts.get(place) : 0), line -> log.accept(name + ": " + line));
+        }
+
+        private String config(String name, int listen) {
+            StringBuilder text = new StringBuilder(NODE.formatted(name, port, work.address(), index.address(),
+                    naming.address(), 1000 + place, leaseMillis, place % ZONES, toSink.address(),
+                    listen > 0 ? "; listen \"127.0.0.1:" + listen + "\"; folder council" : ""));
+            for (int i = 0; i < toVoters.size(); i++) {
+                text.append("voter n").append(i).append(" { address \"").append(toVoters.get(i).address()).append("\" }\n");
+            }
+            return text.toString();
+        }
+
+        /** Held up from now until so long after {@link #goesOn}: what it does late is excused. */
+        void heldUp() {
+            heldUpFrom = Math.min(heldUpFrom, System.currentTimeMillis());
+            heldUpUntil = Long.MAX_VALUE;
+            audit.excuse();
+        }
+
+        void goesOn() {
+            audit.excuse();
+            heldUpUntil = System.currentTimeMillis();
+        }
+
+        boolean wasHeldUp(long since) {
+            return heldUpFrom <= System.currentTimeMillis() && heldUpUntil >= since;
+        }
+
+        private boolean isHeldUp() {
+            return heldUpUntil == Long.MAX_VALUE;
+        }
+
+        void kill() throws InterruptedException {
+            heldUp();
+            process.kill();
+            audit.excuse();
+            Caller gone = caller;
+            caller = null;
+            close(gone);
+        }
+
+        void start() throws IOException {
+            process.start();
+            goesOn();
+        }
+
+        /** Sends a ticket now and then, while the node is there. */
+        private void send() {
+            if (!process.isUp() || isHeldUp()) {
+                return;
+            }
+            try {
+                if (caller == null) {
+                    caller = new Caller(port, audit, (id, words) -> { });
+                }
+                String id = String.format("%016x", chance.nextLong());
+                boolean unlock = chance.nextInt(3) == 0;
+                String mark = unlock ? String.format("%016x", chance.nextLong()) : null;
+                String track = unlock ? "unlock" : chance.nextBoolean() ? "quote" : "history";
+                caller.send(id, new Audit.Sent(track, track + " " + id, mark, System.currentTimeMillis(), ABANDON_MILLIS),
+                        "north");
+            } catch (IOException e) {
+                // Not up yet, or gone: what it had is excused with the process, else it is found as lost.
+                Caller gone = caller;
+                caller = null;
+                close(gone);
+            }
+        }
+    }
+
+    static final int ZONES = 3;
+    private static final String NODE = """
+            name %s
+            listen "127.0.0.1:%d"
+            executor "%s"
+            index "%s"
+            naming "%s"
+            seed "%d"
+            stop 4s
+            step 4ms
+            limits { descriptors 512 }
+            machine { cores 2; memory 400MB; below one-for-all; calls-out 64; calls-over 5s; linger 200ms
+                gauges core_use on_cores heap_share links; advice allowance; idle-connections 30s }
+            goal { whole 50%%; worst-track 50%% }
+            bounced { come-back-after-most 1s; tells-when #true }
+            rules { drain-grace 500ms; crowd 6; crowd-over 2s }
+            customer north { share 100%%; quota 5000/s }
+            track history { effect pure; agreed-time 2s; abandon-time 6s }
+            track quote { effect pure; agreed-time 2s; abandon-time 6s; calls #true }
+            track unlock { effect receipted; agreed-time 2s; abandon-time 6s; window 60s; calls #true }
+            fleet { lease %dms; region r; zone z%d; report "%s"%s }
+            """;
+
+    final List<Member> members = new ArrayList<>();
+    final DutySink sink;
+    private final Path at;
+    private final Random random;
+    private final Consumer<String> log;
+    private final long leaseMillis;
+    private final Door index = new Door(0, StandIns::index);
+    private final Door naming = new Door(0, StandIns::naming);
+    private volatile boolean over;
+
+    /** @param ticketsEvery milliseconds between two tickets at each node; zero for none */
+    ProcessFleet(int voters, int all, long leaseMillis, int ticketsEvery, boolean refusesLower, long seed,
+            Consumer<String> log) throws IOException {
+        random = new Random(seed);
+        this.leaseMillis = leaseMillis;
+        this.log = log;
+        at = Files.createTempDirectory("lupinwood-lab");
+        sink = new DutySink(refusesLower, (name, since) -> members.get(Integer.parseInt(name.substring(1))).wasHeldUp(since));
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < voters; i++) {
+            ports.add(freePort());
+        }
+        for (int i = 0; i < all; i++) {
+            members.add(new Member(i, ports, sink));
+        }
+        if (ticketsEvery > 0) {
+            Door.daemon(() -> load(ticketsEvery));
+        }
+    }
+
+    static int freePort() throws IOException {
+        try (Door free = new Door(0, StandIns::mute)) {
+            return free.port();
+        }
+    }
+
+    private void load(int every) {
+        try {
+            while (!over) {
+                members.forEach(Member::send);
+                Thread.sleep(every);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    void startAll() throws IOException {
+        for (Member member : members) {
+            member.start();
+        }
+    }
+
+    /** Cuts, or swallows what goes out of, or mends all links of a node to the council. */
+    void link(Member member, Consumer<Link> job) {
+        member.toVoters.forEach(job);
+    }
+
+    /** The links between two zones, both ways. */
+    void zone(int zone, int voters, Consumer<Link> job) {
+        for (Member member : members) {
+            for (int voter = 0; voter < voters; voter++) {
+                if (member.place % ZONES == zone != (voter % ZONES == zone)) {
+                    job.accept(member.toVoters.get(voter));
+                }
+            }
+        }
+    }
+
+    /** Ends the load and the nodes, those by a notice to leave; what broke a rule. */
+    List<String> leaveAll() throws IOException, InterruptedException {
+        over = true;
+        Thread.sleep(200);
+        List<String> broken = new ArrayList<>(sink.broken());
+        for (Member member : members) {
+            if (member.process.isStopped()) {
+                member.process.goOn();
+            }
+            if (!member.process.isUp()) {
+                broken.add(member.process.name() + " was gone by itself: " + last(member.process));
+            }
+        }
+        List<Thread> leaving = new ArrayList<>();
+        for (Member member : members) {
+            Thread one = new Thread(() -> {
+                try {
+                    if (!member.process.leave(8)) {
+                        synchronized (broken) {
+                            broken.add(member.process.name() + " did not leave in good order: " + last(member.process));
+                        }
+                    }
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            one.start();
+            leaving.add(one);
+        }
+        for (Thread one : leaving) {
+            one.join();
+        }
+        for (Member member : members) {
+            member.audit.close().forEach(what -> broken.add(member.process.name() + ": " + what));
+        }
+        return broken;
+    }
+
+    private static String last(NodeProcess process) {
+        List<String> lines = process.lines();
+        return lines.isEmpty() ? "" : lines.get(lines.size() - 1);
+    }
+
+    int count(String what) {
+        return members.stream().mapToInt(member -> member.audit.of(what)).sum();
+    }
+
+    private static void close(Closeable one) {
+        try {
+            if (one != null) {
+                one.close();
+            }
+        } catch (IOException e) {
+            // It is gone either way.
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        over = true;
+        for (Member member : members) {
+            try {
+                member.process.kill();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            close(member.caller);
+            close(member.work);
+            close(member.sinkDoor);
+            close(member.toSink);
+            member.toVoters.forEach(ProcessFleet::close);
+        }
+        close(index);
+        close(naming);
+        try (Stream<Path> files = Files.walk(at)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
+}
--- a/src/main/java/lupinwood/lab/TimedFleet.java
+++ b/src/main/java/lupinwood/lab/TimedFleet.java
@@ -140,8 +140,8 @@
             stoppedUntil = Math.max(stoppedUntil, time.now() + Math.round(seconds * 1e9));
         }
 
-        private void post(NodeName to, RaftMessage message) {
-            Node other = byName.get(to);
+        private void post(String to, RaftMessage message) {
+            Node other = byName.get(new NodeName(to));
             links.send(place, other.place, () -> {
                 if (other.up && other.council != null) {
                     Council at = other.council;
--- a/src/main/java/lupinwood/load/LanguageLoader.java
+++ b/src/main/java/lupinwood/load/LanguageLoader.java
@@ -40,7 +40,7 @@
                 values.put(each.getKey(), each.getValue());
             }
             Map<String, List<String>> lists = new LinkedHashMap<>(config.meaning().lists());
-            for (String list : List.of(Schema.ROUTE, Schema.SERVER)) {
+            for (String list : List.of(Schema.ROUTE, Schema.SERVER, Schema.VOTER)) {
                 lists.put(list, part.items(list));
             }
             Meaning both = new Meaning(lists, Meaning.ordered(lists, values));
--- a/src/main/java/lupinwood/net/AjpServers.java
+++ b/src/main/java/lupinwood/net/AjpServers.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import lupinwood.ajp.BackReader;
 import lupinwood.ajp.BadPacket;
 import lupinwood.ajp.Requests;
@@ -72,6 +73,8 @@
     private final Deque<Run> waiting = new ArrayDeque<>();
     private final Set<Line> toFlush = new HashSet<>();
     private Deadlines.Deadline back;
+    /** What a ticket that tries a server for all nodes carries besides; null where each tries for itself. */
+    private Supplier<Map<String, String>> mark;
     private Host host;
 
     AjpServers(Meaning meaning, long seed, Means means) {
@@ -98,6 +101,15 @@
         host = served;
     }
 
+    void markTrials(Supplier<Map<String, String>> by) {
+        mark = by;
+    }
+
+    /** The pool that chooses among them, for who decides in common with other nodes. */
+    Pool pool() {
+        return pool;
+    }
+
     boolean carriesOut(String track) {
         return tracks.contains(track);
     }
@@ -130,8 +142,8 @@
     /** Guards against tickets that wait while nothing ends: a server that may be tried again is reason enough. */
     private void watchForBack() {
         means.deadlines().callOff(back);
-        back = waiting.isEmpty() || pool.nextBack().equals(Moment.NEVER) ? null
-                : means.deadlines().at(pool.nextBack(), this::sendWaiting);
+        back = waiting.isEmpty() || pool.nextBack(host.now()).equals(Moment.NEVER) ? null
+                : means.deadlines().at(pool.nextBack(host.now()), this::sendWaiting);
     }
 
     private void sendWaiting() {
@@ -212,6 +224,9 @@
             headers.put("Host", "lupinwood");
             headers.put("Content-Type", "application/octet-stream");
             headers.put("X-Try", run.id.digits());
+            if (mark != null && pool.isOnTrial(server)) {
+                headers.putAll(mark.get());
+            }
             outbox().add(Requests.forward("POST", "/" + run.track, headers, run.body.length,
                     servers.get(server).secret()));
             bodyFrom = 0;
--- /dev/null
+++ b/src/main/java/lupinwood/net/FleetPart.java
@@ -0,0 +1,111 @@
+package lupinwood.net;
+
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.util.List;
+import java.util.Map;
+import lupinwood.core.Deadlines;
+import lupinwood.core.Host;
+import lupinwood.council.Fleet;
+import lupinwood.council.FleetSettings;
+import lupinwood.council.FleetView;
+import lupinwood.fleet.Condition;
+import lupinwood.fleet.DutyName;
+import lupinwood.fleet.Token;
+import lupinwood.log.Log;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+import lupinwood.pools.Pool;
+import lupinwood.pools.Trials;
+import lupinwood.settings.Meaning;
+
+/**
+ * The fleet as the node sees it: what the node is, told to the fleet; what the fleet found, told to the pool of servers.
+ * The deciding thread reads a ready picture; it never waits for the fleet, and without one all is as alone.
+ */
+final class FleetPart {
+    private static final Span LOOK = Span.ofSeconds(0.1);
+    private static final Span LAST_WORD = Span.ofSeconds(0.1);
+
+    private final Fleet fleet;
+    private final Deadlines deadlines;
+    private final Span warmAfter;
+    private final AjpServers servers;
+    private Host host;
+    private volatile Condition condition = Condition.COLD;
+    private volatile List<String> leftOut = List.of();
+    private List<FleetView.Found> heard = List.of();
+    /** The token of the try that is under way. */
+    private Token tries;
+
+    /** @param servers null where none carries out tickets */
+    FleetPart(Meaning meaning, AjpServers servers, Deadlines deadlines, Log log) {
+        this.deadlines = deadlines;
+        this.servers = servers;
+        warmAfter = new Span(meaning.number("rules warm-after", BigDecimal.ZERO).longValue());
+        fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut), log);
+    }
+
+    void start() throws IOException {
+        fleet.start();
+    }
+
+    /** On the deciding thread. */
+    void serve(Host served) {
+        host = served;
+        if (servers != null) {
+            servers.pool().trialsBy(new InCommon());
+            servers.markTrials(() -> tries == null ? Map.of() : Map.of("X-Duty-Token", tries.toString()));
+        }
+        look();
+    }
+
+    private static Moment monotonic() {
+        return new Moment(System.nanoTime());
+    }
+
+    private void look() {
+        condition = host.isWarm(warmAfter) ? Condition.WARM : Condition.COLD;
+        if (servers != null) {
+            Pool pool = servers.pool();
+            leftOut = pool.leftOut();
+            List<FleetView.Found> found = fleet.view().found();
+            if (found != heard) {
+                heard = found;
+                Moment now = monotonic();
+                found.forEach(one -> pool.told(one.server(), one.well(), host.now().minus(now.since(one.at())), host.now()));
+            }
+        }
+        deadlines.at(host.now().plus(LOOK), this::look);
+    }
+
+    void leave() {
+        fleet.leave();
+    }
+
+    void end() {
+        fleet.end(LAST_WORD);
+    }
+
+    String figures() {
+        return fleet.figures();
+    }
+
+    /** One tries for all while the council can be heard; without its word each node tries by itself. */
+    private final class InCommon implements Trials {
+        @Override
+        public boolean mayTry(String server) {
+            FleetView view = fleet.view();
+            Moment now = monotonic();
+            tries = view.mayAct(DutyName.TRIAL, now);
+            return tries != null || !view.isInTouch(now);
+        }
+
+        @Override
+        public void tried(String server, boolean well) {
+            if (tries != null) {
+                fleet.found(server, well, tries);
+            }
+        }
+    }
+}
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -62,6 +62,8 @@
     private final ExecutorLink executor;
     /** Null where no server carries out tickets, which then loads nothing of it. */
     private final AjpServers servers;
+    /** Null where the configuration names no voters, which then loads nothing of it. */
+    private final FleetPart fleet;
     private final IndexLink index;
     private final NamingReporter naming;
     private final Host host;
@@ -81,6 +83,8 @@
         executor = new ExecutorLink(config.executor(), at -> executorAt = at, means);
         servers = config.meaning().items(Schema.SERVER).isEmpty() ? null
                 : new AjpServers(config.meaning(), config.seed(), means);
+        fleet = config.meaning().items(Schema.VOTER).isEmpty() ? null
+                : new FleetPart(config.meaning(), servers, deadlines, log);
         index = new IndexLink(config.index(), means);
         naming = new NamingReporter(config.naming(), config.name(), means);
         int connections = Math.max(config.sockets() / 2 + 1, config.sockets() - OWN_DESCRIPTORS);
@@ -99,13 +103,10 @@
             // A node that is slow at first is better than none.
             log.problem("no warm-up", e);
         }
-        sockets.listen(config.listen(), listener::newPeer);
-        log.line(config.name() + " listens on " + config.listen());
-        if (ajp != null) {
-            InetSocketAddress also = NodeConfig.address(config.meaning().value("ajp listen"));
-            sockets.listenAlso(also, ajp::newPeer);
-            log.line(config.name() + " listens for AJP on " + also);
+        if (fleet != null) {
+            fleet.start();
         }
+        // Before the door opens: what comes through it at once must find who is to take it.
         decider.tell(() -> {
             listener.serve(host);
             if (ajp != null) {
@@ -117,13 +118,26 @@
             }
             executor.serve(host);
             naming.serve(host);
+            if (fleet != null) {
+                fleet.serve(host);
+            }
             tellFigures();
         });
+        sockets.listen(config.listen(), listener::newPeer);
+        log.line(config.name() + " listens on " + config.listen());
+        if (ajp != null) {
+            InetSocketAddress also = NodeConfig.address(config.meaning().value("ajp listen"));
+            sockets.listenAlso(also, ajp::newPeer);
+            log.line(config.name() + " listens for AJP on " + also);
+        }
         decider.start(host);
     }
 
     private void tellFigures() {
         log.line(host.figures());
+        if (fleet != null) {
+            log.line(fleet.figures());
+        }
         deadlines.at(host.now().plus(FIGURES_EVERY), this::tellFigures);
     }
 
@@ -205,6 +219,9 @@
     public void leave() throws InterruptedException {
         log.line("told to leave");
         Span stop = config.stop();
+        if (fleet != null) {
+            fleet.leave();
+        }
         decider.tell(() -> {
             host.leave(stop);
             naming.leave();
@@ -221,6 +238,9 @@
         left.await(stop.nanos(), TimeUnit.NANOSECONDS);
         decider.stop();
         sockets.dispose();
+        if (fleet != null) {
+            fleet.end();
+        }
         log.line("left");
     }
 
--- a/src/main/java/lupinwood/pools/Pool.java
+++ b/src/main/java/lupinwood/pools/Pool.java
@@ -36,6 +36,7 @@
     private static final double CUT = 0.9;
     private static final double UNTRIED = 0.9;
     private static final double FORGOTTEN = 5; // seconds after which half of what is known of an idle server is left
+    private static final Span ASK_AGAIN = Span.ofSeconds(0.1);
     private static final Span FIRST_GUESS = Span.ofSeconds(0.05);
 
     private static final class Book {
@@ -50,6 +51,9 @@
         int timesLeftOut;
         /** Null while it isn't left out. */
         Moment backAt;
+        Moment leftOutAt;
+        /** Somebody else found it well since it was left out: that is worth one ticket, and no more. */
+        boolean vouched;
         /** It came back, and has yet to do well. */
         boolean onTrial;
 
@@ -75,6 +79,7 @@
     /** What runs took while a server had less than half of what it may: the pool's own calm. */
     private final Histogram calm = new Histogram(CALM);
     private int turn;
+    private Trials trials = Trials.ALONE;
 
     public Pool(List<String> servers, Rules rules, long seed) {
         servers.forEach(name -> books.add(new Book(name)));
@@ -82,6 +87,34 @@
         random = new Random(seed);
     }
 
+    /** Asks before each trial, and tells what it came to. */
+    public void trialsBy(Trials asked) {
+        trials = asked;
+    }
+
+    /**
+     * What another node's trial found. Well, and since the server was left out here: then it is tried here too, soon, and
+     * not by all nodes at once. It is not trusted over what is seen here; what failed there changes nothing.
+     */
+    public void told(String server, boolean well, Moment at, Moment now) {
+        for (Book book : books) {
+            if (well && book.name.equals(server) && book.backAt != null && !book.vouched && book.leftOutAt.isBefore(at)) {
+                book.vouched = true;
+                Moment soon = now.plus(rules.leftOutFirst().times(random.nextDouble()));
+                book.backAt = soon.isBefore(book.backAt) ? soon : book.backAt;
+            }
+        }
+    }
+
+    /** The servers that are left out now. */
+    public List<String> leftOut() {
+        return books.stream().filter(book -> book.backAt != null).map(book -> book.name).toList();
+    }
+
+    private boolean mayComeBack(Book book, Moment now) {
+        return !now.isBefore(book.backAt) && (book.vouched || trials.mayTry(book.name));
+    }
+
     public int size() {
         return books.size();
     }
@@ -100,6 +133,10 @@
         return book.onTrial || book.backAt != null ? 1 : (int) Math.floor(book.limit);
     }
 
+    public boolean isOnTrial(int server) {
+        return books.get(server).onTrial;
+    }
+
     public boolean isLeftOut(int server) {
         return books.get(server).backAt != null;
     }
@@ -137,7 +174,7 @@
         for (int i = 0; i < books.size(); i++) {
             int server = (turn + i) % books.size();
             Book book = books.get(server);
-            boolean back = book.backAt == null || !now.isBefore(book.backAt);
+            boolean back = book.backAt == null || mayComeBack(book, now);
             if (!back || book.out >= limit(server) || tried.contains(server)
                     || !may.test(server)) {
                 continue;
@@ -192,6 +229,9 @@
         if (end == End.UNKNOWN) {
             return;
         }
+        if (book.onTrial) {
+            trials.tried(book.name, end == End.WELL);
+        }
         if (end == End.FAILED) {
             book.learn(Math.max(took.seconds(), SLOWER * expectedCalm()), now);
             if (!wasSlow) {
@@ -227,14 +267,17 @@
         double factor = Math.pow(2, Math.min(30, book.timesLeftOut++)) * (0.75 + random.nextDouble() / 2);
         Span span = rules.leftOutFirst().times(Math.min(factor, 1e6)).min(rules.leftOutMost());
         book.backAt = now.plus(span);
+        book.leftOutAt = now;
+        book.vouched = false;
         book.onTrial = false;
         book.failuresInRow = 0;
         book.limit = 1;
     }
 
     /** When a server that is left out may be tried again, the soonest; never where none is. */
-    public Moment nextBack() {
-        return books.stream().map(book -> book.backAt).filter(at -> at != null).min(Moment::compareTo)
-                .orElse(Moment.NEVER);
+    public Moment nextBack(Moment now) {
+        return books.stream().filter(book -> book.backAt != null)
+                .map(book -> now.isBefore(book.backAt) || mayComeBack(book, now) ? book.backAt : now.plus(ASK_AGAIN))
+                .min(Moment::compareTo).orElse(Moment.NEVER);
     }
 }
--- a/src/main/java/lupinwood/settings/Checks.java
+++ b/src/main/java/lupinwood/settings/Checks.java
@@ -39,6 +39,7 @@
         checks.limits();
         checks.routes();
         checks.servers();
+        checks.fleet();
         return checks.faults;
     }
 
@@ -268,4 +269,34 @@
             }
         }
     }
+
+    private void fleet() {
+        List<String> voters = meaning.items(Schema.VOTER);
+        String said = meaning.values().keySet().stream().filter(name -> name.startsWith("fleet ")).findFirst().orElse(null);
+        if (voters.isEmpty()) {
+            if (said != null) {
+                fault(said, "no voter is named, so there is no fleet", "add voter NAME { address \"...\" }, three or five",
+                        true);
+            }
+            return;
+        }
+        if (voters.size() != 3 && voters.size() != 5) {
+            fault("voter " + voters.get(0), "a council of " + voters.size() + " voters"
+                    + (voters.size() % 2 == 0 ? " outlives no more of them than one less would" : " is none that is meant"),
+                    "name three or five voters", true);
+        }
+        twice(Schema.VOTER, voters);
+        Map<String, String> first = new HashMap<>();
+        for (String voter : voters) {
+            String name = "voter " + voter + " address";
+            String other = isSound(name) ? first.putIfAbsent(meaning.value(name), voter) : null;
+            if (other != null) {
+                fault(name, "voter " + voter + " has the address of " + other, "give each its own address", true);
+            }
+        }
+        if (voters.contains(meaning.value("name")) && meaning.value("fleet folder") == null) {
+            fault("fleet folder", "a voter without a folder would forget its votes", "add folder: a path on a disk"
+                    + " that outlives the process", true);
+        }
+    }
 }
--- a/src/main/java/lupinwood/settings/Schema.java
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -33,14 +33,16 @@
     public static final String CUSTOMER = "customer";
     public static final String ROUTE = "route";
     public static final String SERVER = "server";
+    public static final String VOTER = "voter";
     /** All lists, in the order in which their items are written. */
-    public static final List<String> LISTS = List.of(CUSTOMER, TRACK, ROUTE, SERVER);
+    public static final List<String> LISTS = List.of(CUSTOMER, TRACK, ROUTE, SERVER, VOTER);
     /** The section of entries that this build has no name for; they reach the node as they are. */
     public static final String EXTRA = "extra";
     private static final String HOUR = "3600000000000";
     private static final String DAY = "86400000000000";
     private static final String FIXED = "the node's picture of its machine is built on it from the start";
     private static final String ROUTED = "routes are read once";
+    private static final String JOINED = "the node joins its fleet with it once";
     private static final String JUDGED = "the decisions read it anew each time, and no rule hangs on it";
 
     private static final List<Entry> ALL = new ArrayList<>();
@@ -213,6 +215,24 @@
                 .says("Whose tickets it carries out, in place of the executor.");
         at("server * secret", "operator.servers.#.secret", TEXT).otherwise("none").change(RESTART, ROUTED)
                 .says("What the node shows it with each request.");
+        at("fleet region", "operator.fleet.region", TEXT).otherwise("region").change(RESTART, JOINED)
+                .says("The region that the node stands in.");
+        at("fleet zone", "operator.fleet.zone", TEXT).otherwise("zone").change(RESTART, JOINED)
+                .says("The zone that the node stands in.");
+        at("fleet listen", "operator.fleet.listen", ADDRESS).otherwise("its address as a voter")
+                .change(RESTART, "nodes hold connections to it")
+                .says("Where a voter listens for other nodes, on a private net; nodes that are no voters don't listen.");
+        at("fleet folder", "operator.fleet.folder", TEXT).otherwise("none; a voter must have one")
+                .change(RESTART, JOINED).says("Where a voter keeps what it must not forget.");
+        at("fleet report", "operator.fleet.report", ADDRESS).otherwise("nowhere")
+                .change(RESTART, JOINED).says("Where the keeper puts the fleet's picture, by HTTP.");
+        at("fleet lease", "operator.fleet.lease_ns", SPAN).from("300000000", "600000000000").otherwise("3s")
+                .change(RESTART, "all nodes must count by the same").says("How long a duty is held without a word from the council.");
+        at("fleet drift", "operator.fleet.drift", SHARE).from("0", "0.2").otherwise("1%")
+                .change(RESTART, "all nodes must count by the same")
+                .says("How far apart two nodes' clocks may run, at the most.");
+        at("voter * address", "operator.voters.#.address", ADDRESS).needed().change(RESTART, "the council is founded on them")
+                .says("Where the voter is reached; three or five nodes are voters, by their own names.");
     }
 
     public static List<Entry> all() {
--- a/src/test/java/lupinwood/cli/ServeProcessTest.java
+++ b/src/test/java/lupinwood/cli/ServeProcessTest.java
@@ -12,6 +12,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -102,8 +104,25 @@
         replace(2);
         hangUp();
         awaitLine("reloaded: ");
-        assertThat(Files.readString(folder.resolve("classes.txt"))).contains("lupinwood.net.Serving ")
-                .doesNotContain("lupinwood.config.", "lupinwood.lab.", "org.antlr.");
+        String loaded = Files.readString(folder.resolve("classes.txt"));
+        assertThat(loaded).contains("lupinwood.net.Serving ").doesNotContain("lupinwood.config.", "lupinwood.lab.",
+                "org.antlr.", "lupinwood.council.", "lupinwood.fleet.", "lupinwood.net.FleetPart", "io.microraft.", "org.h2.");
+        String deploy = Files.readString(Path.of("deploy/balancer.toml"));
+        List<String> named = new ArrayList<>();
+        Matcher quoted = Pattern.compile("\"(src/main/java/[^\"]*)\"").matcher(deploy);
+        while (quoted.find()) {
+            named.add(quoted.group(1));
+        }
+        Matcher own = Pattern.compile(" (lupinwood\\.[\\w.$]+) source:").matcher(loaded);
+        List<String> left = new ArrayList<>();
+        while (own.find()) {
+            String file = "src/main/java/" + own.group(1).replace('.', '/').replaceFirst("\\$.*", "") + ".java";
+            if (named.stream().noneMatch(file::startsWith)) {
+                left.add(file);
+            }
+        }
+        assertThat(named).hasSizeGreaterThan(10);
+        assertThat(left).as("loaded, and not named in deploy/balancer.toml").isEmpty();
     }
 
     @Test
--- a/src/test/java/lupinwood/lab/LabTest.java
+++ b/src/test/java/lupinwood/lab/LabTest.java
@@ -50,7 +50,7 @@
     @Test
     void theTourShowsEachKindOfAnswer() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("tour", 1, 0, new PrintStream(printed, true), log).run();
+                Experiments.named("tour", 1, 0, 0, new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
         assertThat(outcome.line()).isEqualTo("tour: abandoned 2, runs 4, satisfied 5, sent 7, broken 0");
         assertThat(printed.toString()).contains("satisfied: done: scooter 7");
@@ -59,21 +59,21 @@
     @Test
     void bothFrontsAnswerEachTicketOnceAndAnUnlockThatComesOverBothRunsOnce() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("mixed-fronts", 3, 60, new PrintStream(printed, true), log).run();
+                Experiments.named("mixed-fronts", 3, 60, 0, new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
         assertThat(outcome.line()).contains("ajp cut", "ajp refused");
     }
 
     @Test
     void aPoolOutlivesOneServerInFour() throws Exception {
-        Experiment.Outcome outcome = Experiments.named("pools", 1, 0, new PrintStream(printed, true), log).run();
+        Experiment.Outcome outcome = Experiments.named("pools", 1, 0, 0, new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
     }
 
     @Test
     void aStormOfReloadsLosesNothingAndRunsNothingTwice() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("reload-storm", 5, 25, new PrintStream(printed, true), log).run();
+                Experiments.named("reload-storm", 5, 25, 0, new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
         assertThat(outcome.line()).contains("reloads 25", "mute", "half-written", "refused");
     }
@@ -81,7 +81,7 @@
     @Test
     void noTwoDoOneDutyInMadeUpTimeAndEachSafeguardLeftOutIsFound() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("duties-time", 1, 100, new PrintStream(printed, true), log).run();
+                Experiments.named("duties-time", 1, 100, 0, new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
         assertThat(outcome.line()).contains("schedules 100", "without TOKEN found", "without EARLY_STOP found",
                 "without DRIFT found", "without DURABLE_VOTE found");
--- a/src/test/java/lupinwood/net/ServingTest.java
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import lupinwood.Brain;
 import lupinwood.core.*;
 import lupinwood.log.Log;
@@ -582,4 +583,33 @@
         assertThat(logged.toString().lines().filter(line -> line.startsWith("1970"))).hasSize(6)
                 .last().isEqualTo("1970-01-01T00:00:07Z the rare one in two");
     }
+
+    @Test
+    void whatComesThroughTheDoorTheMomentItOpensIsAnswered() throws Exception {
+        int port;
+        try (Place free = new Place()) {
+            port = free.socket.getLocalPort();
+        }
+        AtomicReference<Socket> first = new AtomicReference<>();
+        // Each line of the log asks the time: at the first after the door is open, somebody is there.
+        Log early = new Log(new PrintStream(logged, true), () -> {
+            if (first.get() == null) {
+                try {
+                    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                    socket.getOutputStream().write(array("HEALTH", "1").getBytes(StandardCharsets.ISO_8859_1));
+                    first.set(socket);
+                    Thread.sleep(100); // time for a node to go wrong that isn't ready
+                } catch (IOException e) {
+                    // Not open yet.
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+            return Instant.now();
+        });
+        Serving other = new Serving(read(text().replace(":" + listen.getPort(), ":" + port)), Brain::new, early);
+        other.start();
+        assertThat(new End(first.get()).answer()).startsWith("1 RED");
+        other.leave();
+    }
 }
--- a/src/test/java/lupinwood/pools/PoolTest.java
+++ b/src/test/java/lupinwood/pools/PoolTest.java
@@ -98,7 +98,7 @@
             }
         }
         assertThat(pool.send(now, List.of())).isNegative();
-        assertThat(pool.nextBack()).isLessThan(now.plus(Span.ofSeconds(1)));
+        assertThat(pool.nextBack(now)).isLessThan(now.plus(Span.ofSeconds(1)));
         int out = 0;
         for (int i = 0; i < 600; i++) {
             pass(0.1);
