--- a/src/main/java/lupinwood/council/Fleet.java
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -78,20 +78,15 @@
                 random.nextLong(), loop.now());
     }
 
-    /** An address in use and a folder that can't be used are told by the exception; all else happens by and by. */
-    public void start() throws IOException {
+    /** Whatever the fleet can't do here is told by the log: a node that serves alone is better than none. */
+    public void start() {
         if (settings.votes()) {
-            folder = Folder.open(settings.folder(), text -> loop.execute(() -> folderFailed(text)));
-            RestoredRaftState kept = folder.restore();
-            Founding.State state = Founding.of(kept);
-            founding = new Founding(settings.name(), settings.names(), state, FOUNDING_EVERY.times(4));
-            carriage.listen(settings.listen());
-            log.line("fleet: a voter, " + switch (state) {
-                case EMPTY -> "with nothing kept: founds the council, or comes anew to one that is";
-                case FOUNDS -> "founding the council";
-                case VOTES -> "with what it kept";
-            });
-            loop.execute(state == Founding.State.VOTES ? () -> takePart(kept, null) : this::found);
+            try {
+                vote();
+            } catch (IOException e) {
+                log.line("fleet: this node can't be a voter until it is started anew: " + e.getMessage());
+                founding = null;
+            }
         }
         keeper = settings.report() == null ? null : new KeeperWork(settings.report(), log);
         loop.execute(this::talk);
@@ -99,6 +94,20 @@
         log.line("fleet: " + settings.name() + " in " + settings.site() + ", life " + life + ", voters " + settings.names());
     }
 
+    private void vote() throws IOException {
+        carriage.listen(settings.listen());
+        folder = Folder.open(settings.folder(), text -> loop.execute(() -> folderFailed(text)));
+        RestoredRaftState kept = folder.restore();
+        Founding.State state = Founding.of(kept);
+        founding = new Founding(settings.name(), settings.names(), state, FOUNDING_EVERY.times(4));
+        log.line("fleet: a voter, " + switch (state) {
+            case EMPTY -> "with nothing kept: founds the council, or comes anew to one that is";
+            case FOUNDS -> "founding the council";
+            case VOTES -> "with what it kept";
+        });
+        loop.execute(state == Founding.State.VOTES ? () -> takePart(kept, null) : this::found);
+    }
+
     // ---- becoming a voter ----
 
     private void found() {
--- a/src/main/java/lupinwood/council/FleetSettings.java
+++ b/src/main/java/lupinwood/council/FleetSettings.java
@@ -35,12 +35,12 @@
         }
         Map<NodeName, InetSocketAddress> voters = new LinkedHashMap<>();
         names.forEach(name -> voters.put(new NodeName(name), address(meaning.value("voter " + name + " address"))));
-        String name = meaning.value("name");
+        String name = meaning.values().getOrDefault("name", ""); // an operator's file by itself has none
         boolean votes = names.contains(name);
         String listen = meaning.value("fleet listen");
         Span lease = new Span(meaning.number("fleet lease", LEASE).longValue());
         Rules rules = Rules.of(lease, meaning.number("fleet drift", DRIFT).doubleValue());
-        return new FleetSettings(new NodeName(name == null ? "" : name),
+        return new FleetSettings(new NodeName(name),
                 new Site(meaning.values().getOrDefault("fleet region", "region"),
                         meaning.values().getOrDefault("fleet zone", "zone")), voters,
                 !votes ? null : listen != null ? address(listen) : voters.get(new NodeName(name)),
--- a/src/main/java/lupinwood/net/FleetPart.java
+++ b/src/main/java/lupinwood/net/FleetPart.java
@@ -1,6 +1,5 @@
 package lupinwood.net;
 
-import java.io.IOException;
 import java.math.BigDecimal;
 import java.util.List;
 import java.util.Map;
@@ -46,7 +45,7 @@
         fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut), log);
     }
 
-    void start() throws IOException {
+    void start() {
         fleet.start();
     }
 
--- a/src/main/java/lupinwood/net/NodeConfig.java
+++ b/src/main/java/lupinwood/net/NodeConfig.java
@@ -137,7 +137,7 @@
             String general = PLACE.matcher(key).replaceFirst(".#.");
             boolean known = Schema.keyed(key) != null || Schema.keyed(general) != null
                     || Schema.keyed(key + ".#") != null || key.endsWith(".count") || general.endsWith(".#.name");
-            if (!known) {
+            if (!known && !Schema.isNotNeeded(key)) {
                 unknown.add(new Fault(key, "nothing reads the entry " + key, "", false));
             }
         }
--- a/src/main/java/lupinwood/settings/Schema.java
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -26,6 +26,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** All entries, in the order in which they are written and explained. */
 public final class Schema {
@@ -45,6 +46,12 @@
     private static final String JOINED = "the node joins its fleet with it once";
     private static final String JUDGED = "the decisions read it anew each time, and no rule hangs on it";
 
+    /** What the platform tells every node and this one needn't read: its own place in the fleet, habits, prices, reports. */
+    private static final Set<String> NOT_NEEDED = Set.of("azs", "bounds.cpu_us_per_request", "bounds.cpu_us_per_s",
+            "domain.fresh_ns", "domain.passes_deadline", "domain.real_checks", "domain.registry_follows", "slot_no", "tier",
+            "tiers", "workload", "worth_by", "zone");
+    private static final List<String> NOT_NEEDED_BELOW = List.of("callers.", "prices.", "reporting.");
+
     private static final List<Entry> ALL = new ArrayList<>();
     private static final Map<String, Entry> BY_NAME = new LinkedHashMap<>();
     private static final Map<String, Entry> BY_KEY = new LinkedHashMap<>();
@@ -249,6 +256,12 @@
         return BY_NAME.get(name);
     }
 
+    /** Whether a key of the JSON is the platform's own word that this program knows and has no use for. */
+    public static boolean isNotNeeded(String key) {
+        String own = key.startsWith("settings.") ? key.substring("settings.".length()) : "";
+        return NOT_NEEDED.contains(own) || NOT_NEEDED_BELOW.stream().anyMatch(own::startsWith);
+    }
+
     /** The entry with this key, with {@code #} for an item's place; null where there is none. */
     public static Entry keyed(String key) {
         return BY_KEY.get(key);
--- a/src/test/java/lupinwood/lab/LabTest.java
+++ b/src/test/java/lupinwood/lab/LabTest.java
@@ -86,4 +86,35 @@
         assertThat(outcome.line()).contains("schedules 100", "without TOKEN found", "without EARLY_STOP found",
                 "without DRIFT found", "without DURABLE_VOTE found");
     }
+
+    @Test
+    void oneOfManyTriesWhatAllHaveLeftOutAndAFleetsTalkGrowsWithItsSizeOnly() throws Exception {
+        assertThat(Experiments.named("trials", 1, 40, 0, new PrintStream(printed, true), log).run().broken()).isEmpty();
+        assertThat(Experiments.named("fleet-cost", 1, 0, 20, new PrintStream(printed, true), log).run().broken()).isEmpty();
+    }
+
+    @Test
+    void realProcessesNeverActUnderTwoTokens() throws Exception {
+        Experiment.Outcome outcome =
+                Experiments.named("duties", 2, 5, 12, new PrintStream(printed, true), log).run();
+        assertThat(outcome.broken()).isEmpty();
+    }
+
+    @Test
+    void anActTakenOutOfOrderOrBesideItsSuccessorIsFound() {
+        DutySink careless = new DutySink(false, (node, since) -> false);
+        assertThat(careless.act("a", 1, 1000)).isTrue();
+        assertThat(careless.act("b", 2, 5000)).isTrue();
+        assertThat(careless.act("a", 1, 5100)).isTrue();
+        assertThat(careless.broken()).hasSize(1).first().asString().contains("was taken after one under 2");
+        DutySink careful = new DutySink(true, (node, since) -> node.equals("held up"));
+        careful.act("a", 1, 1000);
+        careful.act("b", 2, 5000);
+        assertThat(careful.act("a", 1, 5100)).as("on its way meanwhile").isFalse();
+        assertThat(careful.act("held up", 1, 9000)).isFalse();
+        assertThat(careful.broken()).isEmpty();
+        careful.act("a", 1, 9000);
+        careful.act("c", 2, 9100);
+        assertThat(careful.broken()).hasSize(2);
+    }
 }
--- a/src/test/java/lupinwood/net/NodeConfigTest.java
+++ b/src/test/java/lupinwood/net/NodeConfigTest.java
@@ -49,5 +49,8 @@
         assertThat(config.settings()).containsEntry("customers.0.colour", "red")
                 .containsEntry("services.2.window_ns", "2000000000");
         assertThat(changed("n1", "n2").doubtful()).isNull();
+        assertThat(changed("\"step_ns\"", "\"azs\": [\"a\", \"b\"], \"zone\": 1, \"prices\": {\"waste\": 0.05}, \"step_ns\"")
+                .doubtful()).as("the platform's own, known not to be needed").isNull();
+        assertThat(changed("\"step_ns\"", "\"prizes\": {\"waste\": 0.05}, \"step_ns\"").doubtful()).contains("settings.prizes.waste");
     }
 }
