Time hand-overs, weigh a fleet's cost, and fault folders, drains and majorities

Change: lab hand-overs and fleet-on-off; faults: a folder that takes nothing more, a drain of the holder, a drain with two of three voters dead (the node must still go by itself with all answered); voters' addresses move by SIGHUP, off the deciding thread.

--- a/src/main/java/lupinwood/council/Fleet.java
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -59,6 +60,8 @@
     /** The reply whose findings are in the view. */
     private Reply toldOf;
     private List<FleetView.Found> found = List.of();
+    /** Where each voter is reached; it may move. */
+    private Map<NodeName, InetSocketAddress> voters;
     private volatile FleetView view = FleetView.NONE;
     private volatile boolean leaving;
     private Folder folder;
@@ -70,6 +73,7 @@
 
     public Fleet(FleetSettings settings, Self self, Log log) {
         this.settings = settings;
+        voters = settings.voters();
         this.self = self;
         this.log = log;
         loop = new RealLoop(log);
@@ -142,7 +146,7 @@
     }
 
     private void askOthers(JsonObject text) {
-        settings.voters().forEach((name, address) -> {
+        voters.forEach((name, address) -> {
             if (!name.equals(settings.name())) {
                 carriage.say(address, text);
             }
@@ -183,7 +187,7 @@
 
     private void post(String to, RaftMessage message) {
         int mark = to.indexOf('~');
-        InetSocketAddress address = settings.voters().get(new NodeName(mark < 0 ? to : to.substring(0, mark)));
+        InetSocketAddress address = voters.get(new NodeName(mark < 0 ? to : to.substring(0, mark)));
         if (address != null) {
             JsonObject text = new JsonObject();
             text.addProperty("k", "raft");
@@ -219,9 +223,9 @@
             case "who" -> {
                 NodeName name = new NodeName(text.get("from").getAsString());
                 loop.offer(() -> {
-                    if (founding != null && settings.voters().containsKey(name)) {
+                    if (founding != null && voters.containsKey(name)) {
                         Founding.State state = council != null ? Founding.State.VOTES : founding.state();
-                        carriage.say(settings.voters().get(name), Founding.tell(settings.name(), state));
+                        carriage.say(voters.get(name), Founding.tell(settings.name(), state));
                     }
                 });
             }
@@ -237,7 +241,7 @@
             case "admit" -> {
                 String id = text.get("id").getAsString();
                 loop.offer(() -> {
-                    if (council != null && settings.voters().containsKey(new Voter(id).name())) {
+                    if (council != null && voters.containsKey(new Voter(id).name())) {
                         council.admit(id);
                     }
                 });
@@ -303,7 +307,7 @@
         JsonObject text = new JsonObject();
         text.addProperty("k", "beat");
         text.add("b", GSON.toJsonTree(sent.beat()));
-        carriage.say(settings.voters().get(sent.to()), text);
+        carriage.say(voters.get(sent.to()), text);
     }
 
     private void replied(Reply reply) {
@@ -351,7 +355,7 @@
             JsonObject ask = new JsonObject();
             ask.addProperty("k", "ask");
             ask.addProperty("number", token.number());
-            carriage.say(settings.voters().get(session.talksTo()), ask);
+            carriage.say(voters.get(session.talksTo()), ask);
         }
         loop.after(settings.rules().beatHolding().times(0.5), this::look);
     }
@@ -375,7 +379,7 @@
             text.addProperty("k", "keep");
             text.add("d", GSON.toJsonTree(new Deed.Keep(token, state.getAsJsonObject().getAsJsonArray("seen").size()
                     + " nodes known")));
-            carriage.say(settings.voters().get(session.talksTo()), text);
+            carriage.say(voters.get(session.talksTo()), text);
         }
     }
 
@@ -387,6 +391,17 @@
 
     // ---- for the rest of the node ----
 
+    /** The voters have moved: the names stay as they are, links are made anew. */
+    public void reach(Map<NodeName, InetSocketAddress> moved) {
+        loop.execute(() -> {
+            if (moved.keySet().equals(voters.keySet()) && !moved.equals(voters)) {
+                voters = Map.copyOf(moved);
+                carriage.keepOnly(voters.values());
+                log.line("fleet: reaches the voters at " + voters);
+            }
+        });
+    }
+
     /** Read by any thread; never waits. */
     public FleetView view() {
         return view;
--- a/src/main/java/lupinwood/lab/DutiesInTime.java
+++ b/src/main/java/lupinwood/lab/DutiesInTime.java
@@ -113,7 +113,7 @@
         int count = fleet.nodes.size();
         TimedFleet.Node one = fleet.nodes.get(random.nextInt(count));
         double lasts = 0.5 + random.nextDouble() * 10;
-        int kind = random.nextInt(11);
+        int kind = random.nextInt(13);
         Runnable begin;
         Runnable end = () -> { };
         switch (kind) {
@@ -149,6 +149,17 @@
                 begin = () -> fleet.each(node -> node.holds(DutyName.KEEPER), node -> around(fleet, node, true, true));
                 end = fleet.links::mendAll;
             }
+            case 10 -> {
+                begin = () -> fleet.each(node -> node.votes && node.leads() || node == one, TimedFleet.Node::failFolder);
+                end = () -> fleet.each(node -> node.votes, node -> {
+                    node.kill();
+                    node.start();
+                });
+            }
+            case 11 -> {
+                begin = () -> fleet.each(node -> node.holds(DutyName.KEEPER), TimedFleet.Node::leave);
+                end = () -> fleet.each(node -> !node.isUp(), TimedFleet.Node::start);
+            }
             case 9 -> begin = () -> {
                 fleet.dieVoting(lasts);
                 fleet.each(node -> node.votes && node.leads(), TimedFleet.Node::kill);
--- a/src/main/java/lupinwood/lab/DutiesRun.java
+++ b/src/main/java/lupinwood/lab/DutiesRun.java
@@ -27,6 +27,7 @@
     private final long seed;
     private final int nodes;
     private final int seconds;
+    private final List<String> wrong = new ArrayList<>();
     private final boolean refusesLower;
     private final Log log;
 
@@ -54,6 +55,7 @@
             log.line("schedule: " + told);
             double held = play(fleet, faults);
             broken.addAll(fleet.leaveAll());
+            broken.addAll(wrong);
             if (fleet.sink.acts() == 0) {
                 broken.add("nobody ever held the duty");
             } else if (held < LEAST_HELD) {
@@ -89,7 +91,7 @@
         double lasts = 0.5 + random.nextDouble() * 6;
         ProcessFleet.Member one = fleet.members.get(random.nextInt(nodes));
         ProcessFleet.Member[] holder = new ProcessFleet.Member[1];
-        return switch (random.nextInt(9)) {
+        return switch (random.nextInt(11)) {
             case 0 -> new Fault(at, lasts, "the holder is stopped", () -> {
                 holder[0] = holder(fleet, one);
                 stop(holder[0]);
@@ -121,6 +123,16 @@
                     }
                 }, voter::start);
             }
+            case 8 -> new Fault(at, lasts, one.process.name() + " is told to leave", () -> leaves(one), one::start);
+            case 9 -> new Fault(at, lasts + 4, "two voters are killed, and " + one.process.name() + " is told to leave", () -> {
+                fleet.members.get(0).kill();
+                fleet.members.get(1).kill();
+                leaves(one);
+            }, () -> {
+                fleet.members.get(0).start();
+                fleet.members.get(1).start();
+                one.start();
+            });
             case 7 -> new Fault(at, lasts + 4, "the holder's acts arrive late, and it is cut from the council", () -> {
                 holder[0] = holder(fleet, one);
                 holder[0].slow(lasts + 4, LATE_MILLIS);
@@ -145,6 +157,14 @@
         member.process.stop();
     }
 
+    /** It goes by itself and in good order, whatever the council can do. */
+    private void leaves(ProcessFleet.Member member) throws InterruptedException {
+        String what = member.process.isStopped() ? null : member.leaves();
+        if (what != null) {
+            wrong.add(what);
+        }
+    }
+
     private static void goOn(ProcessFleet.Member member) throws IOException, InterruptedException {
         member.process.goOn();
         Thread.sleep(50);
--- a/src/main/java/lupinwood/lab/MadeUpFolder.java
+++ b/src/main/java/lupinwood/lab/MadeUpFolder.java
@@ -7,6 +7,7 @@
 import io.microraft.model.persistence.RaftTermPersistentState;
 import io.microraft.persistence.RaftStore;
 import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
 import java.util.List;
 import java.util.TreeMap;
 import lupinwood.council.Kept;
@@ -34,6 +35,8 @@
 
     private final boolean forgetsVotes;
     private Runnable voted = () -> { };
+    private Runnable failed = () -> { };
+    private boolean fails;
     private Content now = new Content();
     private Content durable = new Content();
 
@@ -47,9 +50,23 @@
         voted = job;
     }
 
+    /** From now on nothing can be written; whose folder it is hears of the first time. */
+    void fail(Runnable job) {
+        fails = true;
+        failed = job;
+    }
+
+    private void writes() throws IOException {
+        if (fails) {
+            failed.run();
+            throw new IOException("the disk is full");
+        }
+    }
+
     /** The process is gone, and with it what it didn't flush. */
     void crash() {
         now = durable.copy();
+        fails = false;
     }
 
     RestoredRaftState restore() {
@@ -57,19 +74,22 @@
     }
 
     @Override
-    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState self) {
+    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState self) throws IOException {
+        writes();
         now.self = self;
         flush();
     }
 
     @Override
-    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView members) {
+    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView members) throws IOException {
+        writes();
         now.members = members;
         flush();
     }
 
     @Override
-    public void persistAndFlushTerm(RaftTermPersistentState term) {
+    public void persistAndFlushTerm(RaftTermPersistentState term) throws IOException {
+        writes();
         if (!forgetsVotes) {
             now.term = term;
         }
@@ -80,22 +100,26 @@
     }
 
     @Override
-    public void persistLogEntries(List<LogEntry> entries) {
+    public void persistLogEntries(List<LogEntry> entries) throws IOException {
+        writes();
         entries.forEach(entry -> now.log.put(entry.getIndex(), entry));
     }
 
     @Override
-    public void persistSnapshotChunk(SnapshotChunk chunk) {
+    public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
+        writes();
         now.chunks.put(String.format("%019d.%09d", chunk.getIndex(), chunk.getSnapshotChunkIndex()), chunk);
     }
 
     @Override
-    public void truncateLogEntriesFrom(long index) {
+    public void truncateLogEntriesFrom(long index) throws IOException {
+        writes();
         now.log.tailMap(index, true).clear();
     }
 
     @Override
-    public void truncateLogEntriesUntil(long index) {
+    public void truncateLogEntriesUntil(long index) throws IOException {
+        writes();
         now.log.headMap(index, true).clear();
     }
 
@@ -105,7 +129,8 @@
     }
 
     @Override
-    public void flush() {
+    public void flush() throws IOException {
+        writes();
         durable = now.copy();
     }
 }
--- a/src/main/java/lupinwood/lab/NodeProcess.java
+++ b/src/main/java/lupinwood/lab/NodeProcess.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -58,6 +59,8 @@
         Process one = new ProcessBuilder(java(LIMITS, "serve", "--config", config.toString()))
                 .directory(folder.toFile()).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
         process = one;
+        // Guards against nodes that outlive the one who plays, should that be ended in the middle.
+        Runtime.getRuntime().addShutdownHook(new Thread(one::destroyForcibly));
         Door.daemon(() -> {
             try (BufferedReader log = one.errorReader()) {
                 for (String line = log.readLine(); line != null; line = log.readLine()) {
@@ -143,6 +146,11 @@
         return 0;
     }
 
+    /** The core time that it used so far. */
+    long cpuMillis() {
+        return process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+    }
+
     List<String> lines() {
         synchronized (lines) {
             return new ArrayList<>(lines);
--- a/src/main/java/lupinwood/lab/ProcessFleet.java
+++ b/src/main/java/lupinwood/lab/ProcessFleet.java
@@ -7,7 +7,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -30,9 +32,12 @@
         private final Door sinkDoor;
         private final int port = freePort();
         private final Random chance;
+        private final Map<String, Long> sentAt = new ConcurrentHashMap<>();
+        private final List<Long> micros = new ArrayList<>();
         private volatile Caller caller;
         private volatile long heldUpUntil;
         private volatile long slowUntil;
+        private volatile boolean quiet;
         private volatile long heldUpFrom = Long.MAX_VALUE;
 
         private Member(int place, List<Integer> voterPorts, DutySink sink) throws IOException {
@@ -50,7 +55,11 @@
 
         private String config(String name, int listen) {
             StringBuilder text = new StringBuilder(NODE.formatted(name, port, work.address(), index.address(),
-                    naming.address(), 1000 + place, leaseMillis, place % ZONES, toSink.address(),
+                    naming.address(), 1000 + place));
+            if (place >= inFleet) {
+                return text.toString();
+            }
+            text.append(FLEET.formatted(leaseMillis, place % ZONES, toSink.address(),
                     listen > 0 ? "; listen \"127.0.0.1:" + listen + "\"; folder council" : ""));
             for (int i = 0; i < toVoters.size(); i++) {
                 text.append("voter n").append(i).append(" { address \"").append(toVoters.get(i).address()).append("\" }\n");
@@ -95,22 +104,53 @@
 
         void start() throws IOException {
             process.start();
+            quiet = false;
             goesOn();
         }
 
+        private void answered(String id) {
+            Long sent = sentAt.remove(id);
+            if (sent != null) {
+                synchronized (micros) {
+                    micros.add((System.nanoTime() - sent) / 1000);
+                }
+            }
+        }
+
+        /** What part of the answers took no longer, in milliseconds. */
+        double took(double part) {
+            synchronized (micros) {
+                List<Long> sorted = micros.stream().sorted().toList();
+                return sorted.isEmpty() ? 0 : sorted.get((int) (part * (sorted.size() - 1))) / 1000.0;
+            }
+        }
+
+        /** Told to leave while nothing new comes: it goes by itself, and has answered all. What is wrong, or null. */
+        String leaves() throws InterruptedException {
+            quiet = true;
+            Thread.sleep(50);
+            String wrong = process.leave(8) ? null : process.name() + " did not leave in good order: " + last(process);
+            if (wrong == null && audit.openTickets() > 0) {
+                wrong = process.name() + " left with " + audit.openTickets() + " tickets unanswered";
+            }
+            kill();
+            return wrong;
+        }
+
         /** Sends a ticket now and then, while the node is there. */
         private void send() {
-            if (!process.isUp() || isHeldUp()) {
+            if (!process.isUp() || isHeldUp() || quiet) {
                 return;
             }
             try {
                 if (caller == null) {
-                    caller = new Caller(port, audit, (id, words) -> { });
+                    caller = new Caller(port, audit, (id, words) -> answered(id));
                 }
                 String id = String.format("%016x", chance.nextLong());
                 boolean unlock = chance.nextInt(3) == 0;
                 String mark = unlock ? String.format("%016x", chance.nextLong()) : null;
                 String track = unlock ? "unlock" : chance.nextBoolean() ? "quote" : "history";
+                sentAt.put(id, System.nanoTime());
                 caller.send(id, new Audit.Sent(track, track + " " + id, mark, System.currentTimeMillis(), ABANDON_MILLIS),
                         "north");
             } catch (IOException e) {
@@ -142,12 +182,15 @@
             track history { effect pure; agreed-time 2s; abandon-time 6s }
             track quote { effect pure; agreed-time 2s; abandon-time 6s; calls #true }
             track unlock { effect receipted; agreed-time 2s; abandon-time 6s; window 60s; calls #true }
+            """;
+    private static final String FLEET = """
             fleet { lease %dms; region r; zone z%d; report "%s"%s }
             """;
 
     final List<Member> members = new ArrayList<>();
     final DutySink sink;
     private final List<Integer> voterPorts = new ArrayList<>();
+    private final int inFleet;
     private final Path at;
     private final Random random;
     private final Consumer<String> log;
@@ -159,6 +202,13 @@
     /** @param ticketsEvery milliseconds between two tickets at each node; zero for none */
     ProcessFleet(int voters, int all, long leaseMillis, int ticketsEvery, boolean refusesLower, long seed,
             Consumer<String> log) throws IOException {
+        this(voters, all, all, leaseMillis, ticketsEvery, refusesLower, seed, log);
+    }
+
+    /** @param inFleet the first so many belong to the fleet, the others stand alone beside it */
+    ProcessFleet(int voters, int inFleet, int all, long leaseMillis, int ticketsEvery, boolean refusesLower, long seed,
+            Consumer<String> log) throws IOException {
+        this.inFleet = inFleet;
         random = new Random(seed);
         this.leaseMillis = leaseMillis;
         this.log = log;
--- a/src/main/java/lupinwood/lab/TimedFleet.java
+++ b/src/main/java/lupinwood/lab/TimedFleet.java
@@ -139,6 +139,30 @@
             }
         }
 
+        /** Its folder takes nothing more: it votes no more until it is started anew. */
+        void failFolder() {
+            Council at = council;
+            folder.fail(() -> {
+                if (at != null && council == at) {
+                    council = null;
+                    at.stop();
+                }
+            });
+        }
+
+        /** The notice to leave: its duties are handed on, then it goes. */
+        void leave() {
+            if (runs()) {
+                condition = Condition.LEAVING;
+                session.handOnAll(now());
+                execute(this::say);
+                after(rules.lease(), () -> {
+                    send(session.last(now()));
+                    time.after(0.1, this::kill);
+                });
+            }
+        }
+
         void stopFor(double seconds) {
             stoppedUntil = Math.max(stoppedUntil, time.now() + Math.round(seconds * 1e9));
         }
@@ -153,13 +177,17 @@
             });
         }
 
-        private void talk() {
+        private void say() {
             Session.Sent sent = session.beat(condition, now());
             if (sent != null) {
                 beats++;
                 weigh(sent.beat());
                 send(sent);
             }
+        }
+
+        private void talk() {
+            say();
             Span wait = session.due().since(now()).max(Span.ofSeconds(0.001));
             after(wait.min(rules.beat()), this::talk);
         }
--- a/src/main/java/lupinwood/net/FleetPart.java
+++ b/src/main/java/lupinwood/net/FleetPart.java
@@ -78,6 +78,11 @@
         deadlines.at(host.now().plus(LOOK), this::look);
     }
 
+    /** A configuration was taken over. */
+    void reach(Meaning meaning) {
+        fleet.reach(FleetSettings.of(meaning).voters());
+    }
+
     void leave() {
         fleet.leave();
     }
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -177,6 +177,9 @@
         boolean taken = step.completeOnTimeout(false, LONGEST_STEP, TimeUnit.SECONDS).join();
         if (taken) {
             config = now;
+            if (fleet != null) {
+                fleet.reach(now.meaning()); // here and not in the step: it may look a name up
+            }
         }
         String stays = plan.steps().stream().filter(s -> s.change() == Change.RESTART).map(Plan.Step::name)
                 .collect(Collectors.joining(", "));
--- a/src/main/java/lupinwood/settings/Schema.java
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -238,7 +238,7 @@
         at("fleet drift", "operator.fleet.drift", SHARE).from("0", "0.2").otherwise("1%")
                 .change(RESTART, "all nodes must count by the same")
                 .says("How far apart two nodes' clocks may run, at the most.");
-        at("voter * address", "operator.voters.#.address", ADDRESS).needed().change(RESTART, "the council is founded on them")
+        at("voter * address", "operator.voters.#.address", ADDRESS).needed().change(AT_ONCE, "what is said next goes there")
                 .says("Where the voter is reached; three or five nodes are voters, by their own names.");
     }
 
