Let nodes go by permits from the agreed book, and halt that

The first play let three go at once: a new leader had heard nobody, and who was 'out already' took nothing more; now it lets nobody go.

--- a/src/main/java/lupinwood/cli/FleetWork.java
+++ b/src/main/java/lupinwood/cli/FleetWork.java
@@ -10,10 +10,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import lupinwood.config.Config;
 import lupinwood.config.Reader;
+import lupinwood.council.Council;
 import lupinwood.council.FleetSettings;
 import lupinwood.council.Question;
+import lupinwood.fleet.NodeName;
 import lupinwood.load.FileSources;
 import lupinwood.log.LibraryLogs;
 import lupinwood.log.Log;
@@ -23,20 +26,31 @@
 final class FleetWork {
     private static final int LEADERLESS = 1;
     private static final int USAGE = 2;
+    private static final int NOT_NOW = 3;
+    private static final Set<String> WITH_NODE = Set.of("leave", "forget");
+    private static final Set<String> ALONE = Set.of("status", "halt", "resume");
+    private static final long ASK_AGAIN_MILLIS = 500;
 
     private final String operator;
     private final boolean json;
     private final Span within;
+    private final boolean history;
 
-    FleetWork(String operator, boolean json, double within) {
+    /** Who gives which order, and whether to wait until it is done. */
+    record Asked(String by, String order, boolean waits) {}
+
+    FleetWork(String operator, boolean json, double within, boolean history) {
+        this.history = history;
         this.operator = operator;
         this.json = json;
         this.within = Span.ofSeconds(within);
     }
 
-    int run(List<String> words) {
-        if (!words.equals(List.of("status"))) {
-            System.err.println("lupinwood: 'fleet' takes: status");
+    int run(List<String> words, Asked asked) {
+        boolean fits = words.size() == 1 && ALONE.contains(words.get(0))
+                || words.size() == 2 && WITH_NODE.contains(words.get(0));
+        if (!fits) {
+            System.err.println("lupinwood: 'fleet' takes: status, leave NODE, halt, resume, forget NODE");
             return USAGE;
         }
         Config config = Reader.readPart(new FileSources(), operator);
@@ -53,6 +67,9 @@
         Log quiet = new Log(new PrintStream(new ByteArrayOutputStream()), Instant::now);
         LibraryLogs.sendTo(quiet);
         try {
+            if (!words.get(0).equals("status")) {
+                return order(settings, words, asked, quiet);
+            }
             Map<Integer, JsonObject> answers = Question.ask(settings.voters().values(), within, quiet);
             JsonObject leads = answers.values().stream().filter(one -> one.get("leads").getAsBoolean()).findFirst()
                     .orElse(null);
@@ -61,7 +78,7 @@
                 answers.values().forEach(all::add);
                 System.out.println(leads != null ? leads.get("state") : all);
             } else {
-                print(settings, answers, leads);
+                print(settings, answers, leads, history);
             }
             return answers.isEmpty() ? USAGE : leads == null ? LEADERLESS : 0;
         } catch (InterruptedException e) {
@@ -70,7 +87,51 @@
         }
     }
 
-    private static void print(FleetSettings settings, Map<Integer, JsonObject> answers, JsonObject leads) {
+    private int order(FleetSettings settings, List<String> words, Asked asked, Log quiet) throws InterruptedException {
+        NodeName node = words.size() > 1 ? new NodeName(words.get(1)) : null;
+        Council.Order order = new Council.Order(asked.order(), words.get(0), node, asked.by());
+        while (true) {
+            Council.Answer answer = Question.order(settings.voters().values(), order, within, quiet);
+            if (answer == null) {
+                System.err.println("lupinwood: nobody leads the council, so nothing new is allowed");
+                return LEADERLESS;
+            }
+            if (answer.done()) {
+                System.out.println(answer.text());
+                return words.get(0).equals("leave") && asked.waits() ? untilGone(settings, node, quiet) : 0;
+            }
+            if (!asked.waits()) {
+                System.err.println("lupinwood: not now: " + answer.text());
+                return NOT_NOW;
+            }
+            Thread.sleep(ASK_AGAIN_MILLIS);
+        }
+    }
+
+    /** Until the council knows that the node is out, or isn't heard any more. */
+    private int untilGone(FleetSettings settings, NodeName node, Log quiet) throws InterruptedException {
+        while (true) {
+            for (JsonObject told : Question.ask(settings.voters().values(), within, quiet).values()) {
+                for (JsonElement one : seen(told)) {
+                    String standing = one.getAsJsonObject().get("standing").getAsString();
+                    if (text(one.getAsJsonObject(), "name").equals(node.text())
+                            && (standing.equals("OUT") || standing.equals("UNKNOWN"))) {
+                        System.out.println(node + " is gone");
+                        return 0;
+                    }
+                }
+            }
+            Thread.sleep(ASK_AGAIN_MILLIS);
+        }
+    }
+
+    private static JsonArray seen(JsonObject told) {
+        JsonArray seen = told.getAsJsonObject("state").getAsJsonArray("seen");
+        return seen == null ? new JsonArray() : seen;
+    }
+
+    private static void print(FleetSettings settings, Map<Integer, JsonObject> answers, JsonObject leads,
+            boolean history) {
         System.out.println("voters: " + answers.size() + " of " + settings.voters().size() + " answered");
         if (leads == null) {
             System.out.println("leader: nobody; duties are not given on, nodes serve as if alone");
@@ -95,6 +156,19 @@
                     site.get("zone").getAsString(), heard));
         }
         lines.forEach(System.out::println);
+        for (JsonElement one : state.getAsJsonArray("permits")) {
+            JsonObject permit = one.getAsJsonObject();
+            System.out.println("permit " + permit.get("number").getAsLong() + ": " + text(permit, "node") + ", let go by "
+                    + permit.get("by").getAsString());
+        }
+        if (!state.get("haltedBy").getAsString().isEmpty()) {
+            System.out.println("halted by " + state.get("haltedBy").getAsString() + ": no node may go");
+        }
+        if (history) {
+            state.getAsJsonArray("history").forEach(one -> System.out.println(
+                    Instant.ofEpochMilli(one.getAsJsonObject().get("atMillis").getAsLong()) + " "
+                            + one.getAsJsonObject().get("text").getAsString()));
+        }
     }
 
     private static String text(JsonObject of, String name) {
--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -64,6 +64,8 @@
         }
         boolean heard = Hangup.onEach(this::reload);
         Serving node = new Serving(config, Brain::new, log);
+        // The same way out as by SIGTERM.
+        node.onLeaveAsked(() -> new Thread(() -> System.exit(0), "asked to leave").start());
         try {
             node.start();
         } catch (IOException e) {
--- a/src/main/java/lupinwood/council/Council.java
+++ b/src/main/java/lupinwood/council/Council.java
@@ -35,6 +35,8 @@
 import lupinwood.fleet.Deed;
 import lupinwood.fleet.DutyName;
 import lupinwood.fleet.NodeName;
+import lupinwood.fleet.OutRules;
+import lupinwood.fleet.Permit;
 import lupinwood.fleet.Reply;
 import lupinwood.fleet.Rules;
 import lupinwood.fleet.Seen;
@@ -61,7 +63,19 @@
 
     /** What one voter says of the council. */
     public record State(NodeName self, NodeName leader, int term, List<Seen> seen, List<Book.Held> duties,
-            String digest, long deeds) {}
+            String digest, long deeds, List<Permit> permits, String haltedBy, List<Book.Entry> history) {}
+
+    /**
+     * What an operator asks for.
+     *
+     * @param id names it, so that one asked again after a lost answer is done once
+     * @param what leave, halt, resume or forget
+     * @param node whom it is about, where it is about one
+     */
+    public record Order(String id, String what, NodeName node, String by) {}
+
+    /** @param done whether it was carried out; else the text says why not now */
+    public record Answer(boolean done, String text) {}
 
     static final String GROUP = "fleet";
     private static final String NEW_TERM = "term";
@@ -229,12 +243,15 @@
         if (underWay.size() >= MOST_DEEDS_AT_ONCE || !underWay.add(deed)) {
             return;
         }
-        raft.<Boolean>replicate(DeedText.of(deed)).whenComplete((Ordered<Boolean> written, Throwable failed) -> {
+        // The steward knows no wall clock; the line of history has one all the same.
+        Deed written = deed instanceof Deed.Back back ? new Deed.Back(back.permit(), back.why(), System.currentTimeMillis())
+                : deed;
+        raft.<Boolean>replicate(DeedText.of(written)).whenComplete((Ordered<Boolean> result, Throwable failed) -> {
             underWay.remove(deed);
             if (done != null) {
-                done.accept(failed == null && written.getResult());
+                done.accept(failed == null && result.getResult());
             }
-            if (failed == null && written.getResult()) {
+            if (failed == null && result.getResult()) {
                 means.log().accept("written: " + deed);
                 if (deed instanceof Deed.Give give) {
                     tellAgain(give.heir());
@@ -264,7 +281,32 @@
     public State state() {
         List<Seen> seen = leads() ? steward.picture(book, means.loop().now()) : List.of();
         return new State(self, leader(), raft.getTerm().getTerm(), seen, new ArrayList<>(book.duties()), book.digest(),
-                book.deeds());
+                book.deeds(), new ArrayList<>(book.permits()), book.haltedBy(), book.history());
+    }
+
+    /** Carries out an operator's order, once; null to the answer where another leads, or nobody does. */
+    public void order(Order order, OutRules outs, Consumer<Answer> to) {
+        if (!leads()) {
+            to.accept(null);
+            return;
+        }
+        String before = book.answer(order.id());
+        long at = System.currentTimeMillis();
+        List<NodeName> out = steward.seenOut(book, means.loop().now());
+        String against = !order.what().equals("leave") ? "" : book.against(order.node(), outs, out);
+        Deed deed = switch (order.what()) {
+            case "leave" -> new Deed.Allow(order.id(), order.node(), order.by(), at, outs, out);
+            case "halt", "resume" -> new Deed.Halt(order.id(), order.what().equals("halt"), order.by(), at);
+            case "forget" -> new Deed.Forget(order.node());
+            default -> null;
+        };
+        if (before != null || deed == null || !against.isEmpty()) {
+            to.accept(new Answer(before != null, before != null ? before : deed == null ? "there is no order "
+                    + order.what() : against));
+            return;
+        }
+        propose(deed, fitted -> to.accept(new Answer(fitted, book.answer(order.id()) != null ? book.answer(order.id())
+                : fitted ? order.what() + " " + order.node() : "it did not fit any more, or may be written yet; ask again")));
     }
 
     /** Who votes, as far as this voter knows. */
--- a/src/main/java/lupinwood/council/DeedText.java
+++ b/src/main/java/lupinwood/council/DeedText.java
@@ -19,7 +19,7 @@
 
     static {
         for (Class<? extends Deed> kind : List.of(Deed.Found.class, Deed.Join.class, Deed.Leave.class, Deed.Forget.class,
-                Deed.Give.class, Deed.Free.class, Deed.Keep.class)) {
+                Deed.Give.class, Deed.Free.class, Deed.Keep.class, Deed.Allow.class, Deed.Back.class, Deed.Halt.class)) {
             KINDS.put(kind.getSimpleName(), kind);
         }
     }
--- a/src/main/java/lupinwood/council/Fleet.java
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -45,8 +45,12 @@
     private static final double KEEP_EVERY = 5; // leases
     private static final Span FOUNDING_EVERY = Span.ofSeconds(0.3);
 
-    /** What this node says of itself. */
-    public record Self(Supplier<Condition> condition, Supplier<List<String>> leftOut) {}
+    /**
+     * What this node says of itself.
+     *
+     * @param leave has the node leave as by the notice; returns at once
+     */
+    public record Self(Supplier<Condition> condition, Supplier<List<String>> leftOut, Runnable leave) {}
 
     private final FleetSettings settings;
     private final Self self;
@@ -254,6 +258,10 @@
                     }
                 });
             }
+            case "order" -> {
+                Council.Order order = GSON.fromJson(text.get("o"), Council.Order.class);
+                loop.offer(() -> order(order, from));
+            }
             case "ask" -> loop.offer(() -> from.say(told(text)));
             case "told" -> {
                 JsonElement state = text.get("state");
@@ -277,6 +285,21 @@
         }
     }
 
+    private void order(Council.Order order, Carriage.Peer from) {
+        Consumer<Council.Answer> to = answer -> {
+            JsonObject text = new JsonObject();
+            text.addProperty("k", "done");
+            text.addProperty("leads", answer != null);
+            text.add("a", GSON.toJsonTree(answer));
+            from.say(text);
+        };
+        if (council == null) {
+            to.accept(null);
+        } else {
+            council.order(order, settings.outs(), to);
+        }
+    }
+
     /** What this voter knows, for who asks. */
     private JsonObject told(JsonObject question) {
         JsonObject text = new JsonObject();
@@ -316,6 +339,11 @@
         if (reply.taken() && !reply.trouble().equals(before)) {
             log.line(reply.trouble().isEmpty() ? "fleet: no longer outside" : "fleet: outside, since " + reply.trouble());
         }
+        if (reply.taken() && reply.leave() > 0 && !leaving) {
+            log.line("fleet: leaves under permit " + reply.leave());
+            leaving = true;
+            self.leave().run();
+        }
         publish();
     }
 
--- a/src/main/java/lupinwood/council/FleetSettings.java
+++ b/src/main/java/lupinwood/council/FleetSettings.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import lupinwood.fleet.NodeName;
+import lupinwood.fleet.OutRules;
 import lupinwood.fleet.Rules;
 import lupinwood.fleet.Site;
 import lupinwood.node.Span;
@@ -23,7 +24,7 @@
  * @param report where the keeper tells the fleet's picture; null for nowhere
  */
 public record FleetSettings(NodeName name, Site site, Map<NodeName, InetSocketAddress> voters, InetSocketAddress listen,
-        Path folder, InetSocketAddress report, Rules rules) {
+        Path folder, InetSocketAddress report, Rules rules, OutRules outs) {
     private static final BigDecimal LEASE = new BigDecimal(3_000_000_000L);
     private static final BigDecimal DRIFT = new BigDecimal("0.01");
 
@@ -45,7 +46,16 @@
                         meaning.values().getOrDefault("fleet zone", "zone")), voters,
                 !votes ? null : listen != null ? address(listen) : voters.get(new NodeName(name)),
                 votes ? Path.of(meaning.values().getOrDefault("fleet folder", "")) : null,
-                meaning.value("fleet report") == null ? null : address(meaning.value("fleet report")), rules);
+                meaning.value("fleet report") == null ? null : address(meaning.value("fleet report")), rules, outs(meaning));
+    }
+
+    private static OutRules outs(Meaning meaning) {
+        OutRules usual = OutRules.USUAL;
+        return new OutRules(meaning.number("out most", BigDecimal.valueOf(usual.most())).intValue(),
+                meaning.number("out share", BigDecimal.valueOf(usual.share())).doubleValue(),
+                meaning.number("out zone-most", BigDecimal.valueOf(usual.zoneMost())).intValue(),
+                meaning.number("out zone-share", BigDecimal.valueOf(usual.zoneShare())).doubleValue(),
+                meaning.number("out least-in", BigDecimal.valueOf(usual.leastIn())).intValue());
     }
 
     public boolean votes() {
--- a/src/main/java/lupinwood/council/Question.java
+++ b/src/main/java/lupinwood/council/Question.java
@@ -1,10 +1,13 @@
 package lupinwood.council;
 
+import com.google.gson.Gson;
 import com.google.gson.JsonObject;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import lupinwood.log.Log;
@@ -12,6 +15,9 @@
 
 /** Asks the voters what they know, for a command. */
 public final class Question {
+    private static final Gson GSON = new Gson();
+    private static final long AGAIN_MILLIS = 500;
+
     private Question() {}
 
     /**
@@ -48,4 +54,33 @@
             return new LinkedHashMap<>(answers);
         }
     }
+
+    /**
+     * Has an operator's order carried out by whoever leads; asked again until somebody does, which does no harm.
+     *
+     * @return null where nobody led in time
+     */
+    public static Council.Answer order(Collection<InetSocketAddress> voters, Council.Order order, Span within, Log log)
+            throws InterruptedException {
+        BlockingQueue<Council.Answer> answers = new ArrayBlockingQueue<>(64);
+        Carriage carriage = new Carriage((from, text) -> {
+            if (text.get("k").getAsString().equals("done") && text.get("leads").getAsBoolean()) {
+                answers.offer(GSON.fromJson(text.get("a"), Council.Answer.class));
+            }
+        }, log);
+        try {
+            JsonObject text = new JsonObject();
+            text.addProperty("k", "order");
+            text.add("o", GSON.toJsonTree(order));
+            long end = System.nanoTime() + within.nanos();
+            Council.Answer answer = null;
+            while (answer == null && System.nanoTime() < end) {
+                voters.forEach(voter -> carriage.say(voter, text));
+                answer = answers.poll(AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            return answer;
+        } finally {
+            carriage.end();
+        }
+    }
 }
--- a/src/main/java/lupinwood/fleet/Book.java
+++ b/src/main/java/lupinwood/fleet/Book.java
@@ -1,5 +1,6 @@
 package lupinwood.fleet;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -35,14 +36,30 @@
         }
     }
 
+    /** An operator's order that was carried out, with what it came to. */
+    public record Done(String order, String text) {}
+
+    /** What operators did, and what followed; the time is the wall clock of who led. */
+    public record Entry(long atMillis, String text) {}
+
     /** The whole book, as it is kept and sent. */
-    public record Page(List<Member> members, List<Held> duties, long lastToken, String digest, long deeds) {}
+    public record Page(List<Member> members, List<Held> duties, long lastToken, String digest, long deeds,
+            List<Permit> permits, long lastPermit, String haltedBy, List<Done> done, List<Entry> history) {}
 
     private static final int MOST_DUTIES = 64;
+    private static final int MOST_PERMITS = 1024;
+    /** Orders that may be repeated, and lines of history. */
+    private static final int MOST_KEPT = 256;
 
     private final int mostMembers;
     private final TreeMap<NodeName, Member> members = new TreeMap<>();
     private final TreeMap<DutyName, Held> duties = new TreeMap<>();
+    private final TreeMap<Long, Permit> permits = new TreeMap<>();
+    private final ArrayDeque<Done> done = new ArrayDeque<>();
+    private final ArrayDeque<Entry> history = new ArrayDeque<>();
+    private long lastPermit;
+    /** Who halted; empty while nothing is. */
+    private String haltedBy = "";
     private long lastToken;
     private String digest = "";
     private long deeds;
@@ -60,10 +77,19 @@
         lastToken = page.lastToken();
         digest = page.digest();
         deeds = page.deeds();
+        permits.clear();
+        page.permits().forEach(permit -> permits.put(permit.number(), permit));
+        lastPermit = page.lastPermit();
+        haltedBy = page.haltedBy();
+        done.clear();
+        done.addAll(page.done());
+        history.clear();
+        history.addAll(page.history());
     }
 
     public Page page() {
-        return new Page(new ArrayList<>(members.values()), new ArrayList<>(duties.values()), lastToken, digest, deeds);
+        return new Page(new ArrayList<>(members.values()), new ArrayList<>(duties.values()), lastToken, digest, deeds,
+                new ArrayList<>(permits.values()), lastPermit, haltedBy, new ArrayList<>(done), new ArrayList<>(history));
     }
 
     /** Whether the deed fitted and was done; one that no longer fits changes nothing. */
@@ -82,7 +108,11 @@
         }
         if (deed instanceof Deed.Forget forget) {
             boolean holds = duties.values().stream().anyMatch(held -> forget.name().equals(held.holder()));
-            return !holds && members.remove(forget.name()) != null;
+            if (holds || members.remove(forget.name()) == null) {
+                return false;
+            }
+            permits.values().removeIf(permit -> permit.node().equals(forget.name()));
+            return true;
         }
         if (deed instanceof Deed.Give give) {
             return give(give);
@@ -95,6 +125,24 @@
             duties.put(free.duty(), new Held(free.duty(), null, null, held.token()));
             return true;
         }
+        if (deed instanceof Deed.Allow allow) {
+            return allow(allow);
+        }
+        if (deed instanceof Deed.Back back) {
+            Permit permit = permits.remove(back.permit());
+            if (permit != null) {
+                write(back.atMillis(), "permit " + back.permit() + " of " + permit.node() + " ended: " + back.why());
+            }
+            return permit != null;
+        }
+        if (deed instanceof Deed.Halt halt) {
+            if (answer(halt.order()) == null) {
+                haltedBy = halt.halted() ? halt.by() : "";
+                did(halt.order(), halt.halted() ? "halted" : "resumed");
+                write(halt.atMillis(), halt.by() + (halt.halted() ? " halted" : " resumed"));
+            }
+            return true;
+        }
         if (deed instanceof Deed.Found found) {
             if (isFounded()) {
                 return false;
@@ -111,6 +159,66 @@
         return true;
     }
 
+    private boolean allow(Deed.Allow allow) {
+        if (answer(allow.order()) != null) {
+            return true; // it was done before
+        }
+        Member member = members.get(allow.node());
+        boolean has = permits.values().stream().anyMatch(permit -> permit.node().equals(allow.node()));
+        if (!haltedBy.isEmpty() || member == null || has || permits.size() >= MOST_PERMITS
+                || !new Outs(allow.rules(), members.values(), permits.values(), allow.seenOut()).against(allow.node())
+                        .isEmpty()) {
+            return false;
+        }
+        Permit permit = new Permit(++lastPermit, member.name(), member.life(), member.site(), allow.by());
+        permits.put(permit.number(), permit);
+        did(allow.order(), "permit " + permit.number() + " for " + permit.node());
+        write(allow.atMillis(), allow.by() + " let " + permit.node() + " go under permit " + permit.number());
+        return true;
+    }
+
+    private void did(String order, String text) {
+        done.add(new Done(order, text));
+        if (done.size() > MOST_KEPT) {
+            done.poll();
+        }
+    }
+
+    private void write(long atMillis, String text) {
+        history.add(new Entry(atMillis, text));
+        if (history.size() > MOST_KEPT) {
+            history.poll();
+        }
+    }
+
+    /** What an order that was carried out came to; null for one that wasn't. */
+    public String answer(String order) {
+        return done.stream().filter(one -> one.order().equals(order)).map(Done::text).findFirst().orElse(null);
+    }
+
+    /** Why a node may not go now; empty where it may. */
+    public String against(NodeName node, OutRules rules, Collection<NodeName> seenOut) {
+        if (!haltedBy.isEmpty()) {
+            return haltedBy + " halted";
+        }
+        boolean has = permits.values().stream().anyMatch(permit -> permit.node().equals(node));
+        return has ? node + " has a permit already"
+                : new Outs(rules, members.values(), permits.values(), seenOut).against(node);
+    }
+
+    public Collection<Permit> permits() {
+        return Collections.unmodifiableCollection(permits.values());
+    }
+
+    /** Who halted; empty while nothing is. */
+    public String haltedBy() {
+        return haltedBy;
+    }
+
+    public List<Entry> history() {
+        return new ArrayList<>(history);
+    }
+
     private boolean join(Deed.Join join) {
         if (!members.containsKey(join.name()) && members.size() >= mostMembers) {
             // Guards against names that come once each, as of nodes named anew at each start: who went makes room.
--- a/src/main/java/lupinwood/fleet/Deed.java
+++ b/src/main/java/lupinwood/fleet/Deed.java
@@ -1,5 +1,7 @@
 package lupinwood.fleet;
 
+import java.util.List;
+
 /** What is written into the book, in the order agreed on. Each is done by {@link Book#apply} or found not to fit. */
 public sealed interface Deed {
     /**
@@ -27,6 +29,22 @@
     /** What the keeper gathered; counts under its token only. */
     record Keep(Token token, String digest) implements Deed {}
 
+    /**
+     * A node may go. Fits only while nothing is halted and the rules allow it, so whoever leads, and however many ask at
+     * once, no more are out by permits than they say.
+     *
+     * @param order names what an operator asked for, so that asking again does nothing twice
+     * @param seenOut who is out by what the leader sees, beside the permits in the book
+     */
+    record Allow(String order, NodeName node, String by, long atMillis, OutRules rules, List<NodeName> seenOut)
+            implements Deed {}
+
+    /** A permit counts no longer. */
+    record Back(long permit, String why, long atMillis) implements Deed {}
+
+    /** No permit is given any more, or permits may be given again. */
+    record Halt(String order, boolean halted, String by, long atMillis) implements Deed {}
+
     /** Why a duty was taken from its holder. */
     enum Why { LAPSED, HANDED_ON, FAILED, WENT }
 }
--- /dev/null
+++ b/src/main/java/lupinwood/fleet/Outs.java
@@ -0,0 +1,55 @@
+package lupinwood.fleet;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Who is out, whatever the reason, and whether one more may go. */
+final class Outs {
+    private final OutRules rules;
+    private final Collection<Book.Member> members;
+    /** By permits, and by what was seen: not in, unknown, cold or leaving. */
+    private final Set<NodeName> out;
+
+    Outs(OutRules rules, Collection<Book.Member> members, Collection<Permit> permits, Collection<NodeName> seenOut) {
+        this.rules = rules;
+        this.members = members;
+        out = new HashSet<>(seenOut);
+        permits.forEach(permit -> out.add(permit.node()));
+        members.stream().filter(member -> !member.in()).forEach(member -> out.add(member.name()));
+    }
+
+    int count() {
+        return (int) members.stream().filter(member -> out.contains(member.name())).count();
+    }
+
+    /**
+     * Why this node may not go now; empty where it may. One that isn't known to be well may not: a new leader has heard
+     * nobody yet, and all would be out already by what it sees.
+     */
+    String against(NodeName node) {
+        Book.Member member = members.stream().filter(one -> one.name().equals(node)).findFirst().orElse(null);
+        if (member == null) {
+            return "there is no node " + node;
+        }
+        if (out.contains(node)) {
+            return node + " is out already, or not known to be well";
+        }
+        int all = members.size();
+        int gone = count() + 1;
+        if (gone > rules.mostOf(all)) {
+            return "of " + all + " nodes " + (gone - 1) + " are out, and no more than " + rules.mostOf(all) + " may be";
+        }
+        if (all - gone < rules.leastIn()) {
+            return "fewer than " + rules.leastIn() + " nodes would stay in";
+        }
+        int inZone = (int) members.stream().filter(one -> one.site().equals(member.site())).count();
+        int outOfZone = 1 + (int) members.stream()
+                .filter(one -> one.site().equals(member.site()) && out.contains(one.name())).count();
+        if (outOfZone > rules.mostOfZone(inZone)) {
+            return "of " + inZone + " nodes in " + member.site() + " " + (outOfZone - 1) + " are out, and no more than "
+                    + rules.mostOfZone(inZone) + " may be";
+        }
+        return "";
+    }
+}
--- a/src/main/java/lupinwood/fleet/Reply.java
+++ b/src/main/java/lupinwood/fleet/Reply.java
@@ -13,11 +13,12 @@
  * @param lease how long each grant is good, from before the beat was sent
  * @param grants what the node holds; a duty that isn't named isn't its
  * @param found what the holder of the duty trial found lately
+ * @param leave the permit under which the node is to go; zero where it is to stay
  * @param others how many nodes the council heard lately
  */
 public record Reply(long number, boolean taken, NodeName leader, String trouble, Span lease, List<Grant> grants,
-        List<Finding> found, int others) {
+        List<Finding> found, long leave, int others) {
     static Reply notTaken(long number, NodeName leader) {
-        return new Reply(number, false, leader, "", Span.ZERO, List.of(), List.of(), 0);
+        return new Reply(number, false, leader, "", Span.ZERO, List.of(), List.of(), 0, 0);
     }
 }
--- a/src/main/java/lupinwood/fleet/Steward.java
+++ b/src/main/java/lupinwood/fleet/Steward.java
@@ -40,6 +40,9 @@
 
     private static final Comparator<Moment> EARLIER = Comparator.naturalOrder();
     private static final int MOST_FINDINGS = 32;
+    /** In leases: how long a node that came back has to be well, and how long a permit may lie unused. */
+    private static final double WELL_FOR = 2;
+    private static final double UNUSED_FOR = 20;
 
     private final Rules rules;
     private final List<DutyName> duties;
@@ -51,6 +54,8 @@
     private final Map<String, Moment> foundAt = new HashMap<>();
     /** Being taken back: from then on it is granted no more, however long the book takes to say so. */
     private final Set<Grant> takenBack = new HashSet<>();
+    /** Since when a node with a permit is seen to be here still. */
+    private final Map<Long, Moment> toldToGo = new HashMap<>();
     private Moment leadsSince;
 
     public Steward(Rules rules, List<DutyName> duties) {
@@ -64,6 +69,7 @@
         heard.clear();
         lapses.clear();
         takenBack.clear();
+        toldToGo.clear();
         findings.clear();
         foundAt.clear();
         book.duties().stream().filter(held -> !held.isFree())
@@ -146,6 +152,7 @@
             return deeds;
         }
         roster(book, now, deeds);
+        permits(book, now, deeds);
         for (DutyName duty : duties) {
             Book.Held held = book.duty(duty);
             if (held.isFree()) {
@@ -177,6 +184,31 @@
         }
     }
 
+    /** A permit ends when its node has been well for a while under another life, or stays and never used it. */
+    private void permits(Book book, Moment now, List<Deed> deeds) {
+        for (Permit permit : book.permits()) {
+            Heard one = heard.get(permit.node());
+            Moment since = one == null || !isFresh(one, now) ? null : one.wellSince;
+            boolean another = one != null && !one.beat.life().equals(permit.life());
+            if (since == null) {
+                toldToGo.remove(permit.number());
+            } else if (another && now.since(since).compareTo(rules.lease().times(WELL_FOR)) >= 0) {
+                deeds.add(new Deed.Back(permit.number(), "well again", 0));
+            } else if (!another) {
+                Moment told = toldToGo.computeIfAbsent(permit.number(), none -> now);
+                if (now.since(told).compareTo(rules.lease().times(UNUSED_FOR)) >= 0) {
+                    deeds.add(new Deed.Back(permit.number(), "never used", 0));
+                }
+            }
+        }
+        toldToGo.keySet().retainAll(book.permits().stream().map(Permit::number).toList());
+    }
+
+    /** Members that are out by what is seen here: all that aren't heard to be warm. */
+    public List<NodeName> seenOut(Book book, Moment now) {
+        return picture(book, now).stream().filter(seen -> seen.standing() != Standing.WARM).map(Seen::name).toList();
+    }
+
     private void takeBack(Book.Held held, Moment now, List<Deed> deeds) {
         // A duty that was given since this voter leads has no end noted yet: it counts from when it is first seen here.
         Moment lapse = lapses.computeIfAbsent(held.duty(), duty -> now.plus(rules.lapsesAfter()));
@@ -273,7 +305,9 @@
         findings.forEach((server, one) -> told.add(new Finding(server, one.well(), one.token(),
                 now.since(foundAt.get(server)))));
         int others = (int) heard.values().stream().filter(one -> isFresh(one, now)).count();
-        return new Reply(beat.number(), true, self, trouble, rules.lease(), grants, told, others);
+        long leave = trouble.isEmpty() ? book.permits().stream().filter(permit -> permit.node().equals(beat.name())
+                && permit.life().equals(beat.life())).mapToLong(Permit::number).findFirst().orElse(0) : 0;
+        return new Reply(beat.number(), true, self, trouble, rules.lease(), grants, told, leave, others);
     }
 
     /** What a voter that doesn't lead says. */
--- a/src/main/java/lupinwood/lab/Experiments.java
+++ b/src/main/java/lupinwood/lab/Experiments.java
@@ -6,7 +6,7 @@
 /** The runs by their names. */
 public final class Experiments {
     public static final String NAMES = "tour, reload-storm, config-cost, pools, mixed-fronts, duties-time, duties, duties-no-token,"
-            + " fleet-cost, trials, fleet-tour, hand-overs, fleet-on-off";
+            + " fleet-cost, trials, fleet-tour, hand-overs, fleet-on-off, permits";
 
     private Experiments() {}
 
@@ -31,6 +31,7 @@
             case "fleet-tour" -> new FleetTour(seed, out);
             case "hand-overs" -> new HandOvers(seed, size > 0 ? size : 40);
             case "fleet-on-off" -> new FleetOnOff(seed, seconds > 0 ? seconds : 30);
+            case "permits" -> new PermitsRun(seed, seconds > 0 ? seconds : 60, log);
             default -> null;
         };
     }
--- a/src/main/java/lupinwood/lab/NodeProcess.java
+++ b/src/main/java/lupinwood/lab/NodeProcess.java
@@ -56,6 +56,9 @@
         }
         starts++;
         stopped = false;
+        synchronized (lines) {
+            lines.clear();
+        }
         Process one = new ProcessBuilder(java(LIMITS, "serve", "--config", config.toString()))
                 .directory(folder.toFile()).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
         process = one;
--- /dev/null
+++ b/src/main/java/lupinwood/lab/PermitsRun.java
@@ -0,0 +1,189 @@
+package lupinwood.lab;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import lupinwood.council.Council;
+import lupinwood.council.Question;
+import lupinwood.fleet.NodeName;
+import lupinwood.log.Log;
+import lupinwood.node.Span;
+
+/**
+ * Two operators who ask at once for nodes to go, a supervisor who starts again what went, nodes and voters that are killed,
+ * and halts: the auditor counts at the processes who is out, and knows nothing of the book.
+ */
+final class PermitsRun implements Experiment {
+    private static final int VOTERS = 3;
+    private static final int NODES = 9;
+    private static final long LEASE_MILLIS = 2000;
+    /** A node that was let go right before a halt hears of its permit with a beat, and has its drain before it is gone. */
+    private static final long HALT_BOUND_MILLIS = LEASE_MILLIS + 4000;
+    /** A node that died is noticed within so long. */
+    private static final long NOTICED_MILLIS = 2 * LEASE_MILLIS;
+
+    private final long seed;
+    private final int seconds;
+    private final Log log;
+    private final Log quiet = new Log(new PrintStream(new ByteArrayOutputStream()), Instant::now);
+    private final List<String> broken = new ArrayList<>();
+    private final AtomicInteger allowed = new AtomicInteger();
+    private final AtomicInteger refused = new AtomicInteger();
+    private final AtomicInteger unanswered = new AtomicInteger();
+    private volatile boolean over;
+    private volatile long haltedAt;
+    private volatile boolean halted;
+    private int went;
+    private int mostOut;
+
+    PermitsRun(long seed, int seconds, Log log) {
+        this.seed = seed;
+        this.seconds = seconds;
+        this.log = log;
+    }
+
+    @Override
+    public Outcome run() throws Exception {
+        Random random = new Random(seed);
+        try (ProcessFleet fleet = new ProcessFleet(VOTERS, NODES, LEASE_MILLIS, 40, true, seed, log::line)) {
+            fleet.startAll();
+            Thread.sleep(4 * LEASE_MILLIS);
+            for (int operator = 0; operator < 2; operator++) {
+                String name = "operator" + operator;
+                long chance = random.nextLong();
+                Door.daemon(() -> ask(fleet, name, new Random(chance)));
+            }
+            play(fleet, random);
+            over = true;
+            order(fleet, "resume", null, "end", "end" + seed);
+            long end = System.currentTimeMillis() + 10 * LEASE_MILLIS;
+            for (ProcessFleet.Member member : fleet.members) {
+                while (!member.process.isUp() && System.currentTimeMillis() < end) {
+                    member.start();
+                    Thread.sleep(100);
+                }
+            }
+            Thread.sleep(3 * LEASE_MILLIS);
+            broken.addAll(fleet.leaveAll());
+            if (went == 0) {
+                broken.add("no node ever went by a permit");
+            }
+            return new Outcome(String.format(Locale.ROOT, "permits: orders allowed %d, not now %d, unanswered %d, nodes that went"
+                    + " %d, out at most %d of %d allowed, tickets %d, satisfied %d, broken %d", allowed.get(), refused.get(),
+                    unanswered.get(), went, mostOut, ProcessFleet.MOST_OUT, fleet.count("sent"), fleet.count("satisfied"),
+                    broken.size()), broken);
+        }
+    }
+
+    private void ask(ProcessFleet fleet, String name, Random random) {
+        try {
+            while (!over) {
+                NodeName node = new NodeName("n" + random.nextInt(NODES));
+                String id = name + "-" + random.nextInt(1 << 30);
+                Council.Answer first = order(fleet, "leave", node, name, id);
+                if (first != null && first.done() && random.nextInt(3) == 0) {
+                    Council.Answer again = order(fleet, "leave", node, name, id); // as after a lost answer
+                    if (again != null && !again.text().equals(first.text())) {
+                        wrong("an order given again came to '" + again.text() + "' after '" + first.text() + "'");
+                    }
+                }
+                (first == null ? unanswered : first.done() ? allowed : refused).incrementAndGet();
+                Thread.sleep(random.nextInt(600));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Council.Answer order(ProcessFleet fleet, String what, NodeName node, String by, String id)
+            throws InterruptedException {
+        return Question.order(fleet.voterAddresses(), new Council.Order(id, what, node, by), Span.ofSeconds(3), quiet);
+    }
+
+    private synchronized void wrong(String what) {
+        broken.add(what);
+    }
+
+    /** The supervisor, the faults, and the count of who is out. */
+    private void play(ProcessFleet fleet, Random random) throws IOException, InterruptedException {
+        long begun = System.currentTimeMillis();
+        Map<ProcessFleet.Member, Long> goneSince = new HashMap<>();
+        Map<ProcessFleet.Member, Long> startAt = new HashMap<>();
+        List<ProcessFleet.Member> killed = new ArrayList<>();
+        long nextFault = begun + 5000;
+        int orders = 0;
+        for (long now = begun; now - begun < seconds * 1000L; now = System.currentTimeMillis()) {
+            for (ProcessFleet.Member member : fleet.members) {
+                if (!member.process.isUp() && !goneSince.containsKey(member)) {
+                    goneSince.put(member, now);
+                    startAt.put(member, now + 500 + random.nextInt(3000));
+                    if (!killed.contains(member)) {
+                        gone(member, goneSince, now);
+                    }
+                } else if (!member.process.isUp() && now >= startAt.get(member)) {
+                    member.start();
+                    goneSince.remove(member);
+                    killed.remove(member);
+                }
+            }
+            if (now >= nextFault) {
+                nextFault = now + 3000 + random.nextInt(5000);
+                switch (random.nextInt(3)) {
+                    case 0 -> {
+                        ProcessFleet.Member one = fleet.members.get(random.nextInt(NODES));
+                        if (one.process.isUp()) {
+                            log.line(one.process.name() + " is killed");
+                            killed.add(one);
+                            one.kill();
+                        }
+                    }
+                    case 1 -> {
+                        Council.Answer answer = order(fleet, "halt", null, "warden", "halt" + seed + "." + orders++);
+                        if (answer != null && answer.done()) {
+                            haltedAt = System.currentTimeMillis();
+                            halted = true;
+                            log.line("halted");
+                        }
+                    }
+                    default -> {
+                        halted = false;
+                        order(fleet, "resume", null, "warden", "resume" + seed + "." + orders++);
+                        log.line("resumed");
+                    }
+                }
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    /** A node went by itself: it had a permit, and with it no more may be out than the files say. */
+    private void gone(ProcessFleet.Member member, Map<ProcessFleet.Member, Long> goneSince, long now) {
+        went++;
+        member.heldUp();
+        if (member.audit.openTickets() > 0) {
+            wrong(member.process.name() + " went with tickets unanswered");
+        }
+        int out = 0;
+        for (Map.Entry<ProcessFleet.Member, Long> one : goneSince.entrySet()) {
+            // One that was killed just now could not be known of when the permit was given.
+            out += one.getKey() == member || now - one.getValue() > NOTICED_MILLIS + HALT_BOUND_MILLIS ? 1 : 0;
+        }
+        long byPermit = goneSince.keySet().stream().filter(one -> one.process.lines().stream()
+                .anyMatch(line -> line.contains("leaves under permit"))).count();
+        mostOut = Math.max(mostOut, (int) byPermit);
+        if (Math.max(out, byPermit) > ProcessFleet.MOST_OUT) {
+            wrong(member.process.name() + " went as number " + Math.max(out, byPermit));
+        }
+        if (halted && now - haltedAt > HALT_BOUND_MILLIS) {
+            wrong(member.process.name() + " went " + (now - haltedAt) + " ms after a halt");
+        }
+    }
+}
--- a/src/main/java/lupinwood/lab/ProcessFleet.java
+++ b/src/main/java/lupinwood/lab/ProcessFleet.java
@@ -2,9 +2,12 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -185,7 +188,10 @@
             """;
     private static final String FLEET = """
             fleet { lease %dms; region r; zone z%d; report "%s"%s }
+            out { most 2; share 100%%; zone-most 1; zone-share 100%%; least-in 3 }
             """;
+    /** What the files say of how much may be out. */
+    static final int MOST_OUT = 2;
 
     final List<Member> members = new ArrayList<>();
     final DutySink sink;
@@ -264,6 +270,10 @@
         }
     }
 
+    Collection<InetSocketAddress> voterAddresses() {
+        return voterPorts.stream().map(port -> new InetSocketAddress(InetAddress.getLoopbackAddress(), port)).toList();
+    }
+
     /** What a command came to. */
     record Said(int status, List<String> lines) {}
 
--- a/src/main/java/lupinwood/net/FleetPart.java
+++ b/src/main/java/lupinwood/net/FleetPart.java
@@ -37,12 +37,15 @@
     /** The token of the try that is under way. */
     private Token tries;
 
-    /** @param servers null where none carries out tickets */
-    FleetPart(Meaning meaning, AjpServers servers, Deadlines deadlines, Log log) {
+    /**
+     * @param servers null where none carries out tickets
+     * @param leave has this node leave as by the notice; returns at once
+     */
+    FleetPart(Meaning meaning, AjpServers servers, Deadlines deadlines, Runnable leave, Log log) {
         this.deadlines = deadlines;
         this.servers = servers;
         warmAfter = new Span(meaning.number("rules warm-after", BigDecimal.ZERO).longValue());
-        fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut), log);
+        fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut, leave), log);
     }
 
     void start() {
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -64,6 +64,7 @@
     private final AjpServers servers;
     /** Null where the configuration names no voters, which then loads nothing of it. */
     private final FleetPart fleet;
+    private volatile Runnable leaveAsked = () -> { };
     private final IndexLink index;
     private final NamingReporter naming;
     private final Host host;
@@ -84,7 +85,7 @@
         servers = config.meaning().items(Schema.SERVER).isEmpty() ? null
                 : new AjpServers(config.meaning(), config.seed(), means);
         fleet = config.meaning().items(Schema.VOTER).isEmpty() ? null
-                : new FleetPart(config.meaning(), servers, deadlines, log);
+                : new FleetPart(config.meaning(), servers, deadlines, () -> leaveAsked.run(), log);
         index = new IndexLink(config.index(), means);
         naming = new NamingReporter(config.naming(), config.name(), means);
         int connections = Math.max(config.sockets() / 2 + 1, config.sockets() - OWN_DESCRIPTORS);
@@ -94,6 +95,11 @@
                 new Host.Bounds(connections, TICKETS, RECEIPT_BYTES), Decider.clock());
     }
 
+    /** What the fleet's word to leave sets going; to be set before {@link #start}. */
+    public void onLeaveAsked(Runnable job) {
+        leaveAsked = job;
+    }
+
     /** Listens and serves until told to leave; an address in use is told by the exception. */
     public void start() throws IOException {
         try {
--- a/src/main/java/lupinwood/settings/Schema.java
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -43,6 +43,7 @@
     private static final String DAY = "86400000000000";
     private static final String FIXED = "the node's picture of its machine is built on it from the start";
     private static final String ROUTED = "routes are read once";
+    private static final String BOUNDS = "who leads the council goes by its own file";
     private static final String JOINED = "the node joins its fleet with it once";
     private static final String JUDGED = "the decisions read it anew each time, and no rule hangs on it";
 
@@ -238,6 +239,16 @@
         at("fleet drift", "operator.fleet.drift", SHARE).from("0", "0.2").otherwise("1%")
                 .change(RESTART, "all nodes must count by the same")
                 .says("How far apart two nodes' clocks may run, at the most.");
+        at("out most", "operator.out.most", COUNT).from("1", "1000000").otherwise("no bound").change(RESTART, BOUNDS)
+                .says("How many nodes of the fleet may be out at once, whatever the reason.");
+        at("out share", "operator.out.share", SHARE).from("0", "1").otherwise("10%; one node in any case").change(RESTART, BOUNDS)
+                .says("How much of the fleet may be out at once.");
+        at("out zone-most", "operator.out.zone_most", COUNT).from("1", "1000000").otherwise("no bound")
+                .change(RESTART, BOUNDS).says("How many nodes of one zone may be out at once.");
+        at("out zone-share", "operator.out.zone_share", SHARE).from("0", "1").otherwise("34%; one node in any case")
+                .change(RESTART, BOUNDS).says("How much of one zone may be out at once.");
+        at("out least-in", "operator.out.least_in", COUNT).from("0", "1000000").otherwise("1").change(RESTART, BOUNDS)
+                .says("How many nodes of the fleet have to stay in.");
         at("voter * address", "operator.voters.#.address", ADDRESS).needed().change(AT_ONCE, "what is said next goes there")
                 .says("Where the voter is reached; three or five nodes are voters, by their own names.");
     }
--- /dev/null
+++ b/src/test/java/lupinwood/fleet/PermitTest.java
@@ -0,0 +1,106 @@
+package lupinwood.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+final class PermitTest {
+    private static final Site[] ZONES = {new Site("r", "a"), new Site("r", "b"), new Site("r", "c")};
+    private static final OutRules RULES = new OutRules(3, 0.5, 2, 1, 4);
+    private final Book book = new Book(100);
+
+    private static NodeName node(int i) {
+        return new NodeName("n" + i);
+    }
+
+    private void join(int nodes) {
+        for (int i = 0; i < nodes; i++) {
+            book.apply(new Deed.Join(node(i), new Life(i), ZONES[i % 3]));
+        }
+    }
+
+    private boolean allow(String order, int node, NodeName... seenOut) {
+        return book.apply(new Deed.Allow(order, node(node), "ann", 5, RULES, List.of(seenOut)));
+    }
+
+    @Test
+    void whateverIsOutCountsForTheFleetItsZoneAndTheLeastThatStays() {
+        join(9);
+        assertThat(allow("o1", 0)).isTrue();
+        assertThat(allow("o2", 3)).isTrue();
+        assertThat(allow("o3", 6)).as("the third of zone a").isFalse();
+        assertThat(book.against(node(6), RULES, List.of())).isEqualTo("of 3 nodes in r/a 2 are out, and no more than 2 may be");
+        assertThat(allow("o4", 1, node(4))).as("one is unknown, so four would be out").isFalse();
+        assertThat(book.against(node(1), RULES, List.of(node(4)))).contains("of 9 nodes 3 are out, and no more than 3");
+        assertThat(allow("o4", 4, node(4))).as("who isn't known to be well").isFalse();
+        assertThat(allow("o5", 1)).isTrue();
+        assertThat(allow("o6", 1)).as("it has one").isFalse();
+        book.apply(new Deed.Back(1, "well again", 6));
+        assertThat(allow("o7", 2)).isTrue();
+        assertThat(book.history()).extracting(Book.Entry::text).contains("ann let n0 go under permit 1",
+                "permit 1 of n0 ended: well again");
+        Book small = new Book(100);
+        for (int i = 0; i < 5; i++) {
+            small.apply(new Deed.Join(node(i), new Life(i), ZONES[i % 3]));
+        }
+        small.apply(new Deed.Allow("x", node(0), "ann", 1, RULES, List.of()));
+        assertThat(small.against(node(1), RULES, List.of())).isEqualTo("fewer than 4 nodes would stay in");
+    }
+
+    @Test
+    void anOrderGivenTwiceIsDoneOnceAndNothingIsAllowedWhileHalted() {
+        join(9);
+        assertThat(allow("o1", 0)).isTrue();
+        assertThat(allow("o1", 0)).isTrue();
+        assertThat(book.permits()).hasSize(1);
+        book.apply(new Deed.Halt("h1", true, "bob", 7));
+        assertThat(allow("o2", 1)).isFalse();
+        assertThat(book.against(node(1), RULES, List.of())).isEqualTo("bob halted");
+        book.apply(new Deed.Halt("h2", false, "ann", 8));
+        book.apply(new Deed.Halt("h1", true, "bob", 9));
+        assertThat(allow("o2", 1)).as("an old halt that is told again halts nothing").isTrue();
+        Book again = new Book(100);
+        again.open(book.page());
+        assertThat(again.page()).isEqualTo(book.page());
+        assertThat(again.answer("o2")).isEqualTo("permit 2 for n1");
+    }
+
+    @Test
+    void whateverIsAskedInWhateverOrderNeverMoreIsOutByPermitsThanTheRulesSay() {
+        for (int seed = 0; seed < 300; seed++) {
+            Random random = new Random(seed);
+            Book one = new Book(100);
+            int nodes = 4 + random.nextInt(20);
+            OutRules rules = new OutRules(1 + random.nextInt(6), random.nextDouble(), 1 + random.nextInt(3),
+                    random.nextDouble(), random.nextInt(5));
+            Set<NodeName> unseen = new HashSet<>();
+            for (int i = 0; i < nodes; i++) {
+                one.apply(new Deed.Join(node(i), new Life(i), ZONES[i % 3]));
+            }
+            for (int step = 0; step < 200; step++) {
+                NodeName node = node(random.nextInt(nodes));
+                int before = one.permits().size();
+                switch (random.nextInt(6)) {
+                    case 0 -> new ArrayList<>(one.permits()).stream().findFirst()
+                            .ifPresent(permit -> one.apply(new Deed.Back(permit.number(), "back", 0)));
+                    case 1 -> unseen.add(node);
+                    case 2 -> unseen.remove(node);
+                    case 3 -> one.apply(new Deed.Halt("h" + step, random.nextBoolean(), "x", 0));
+                    default -> one.apply(new Deed.Allow("o" + random.nextInt(400), node, "x", 0, rules, List.copyOf(unseen)));
+                }
+                if (one.permits().size() > before) {
+                    Set<NodeName> out = new HashSet<>(unseen);
+                    one.permits().forEach(permit -> out.add(permit.node()));
+                    assertThat(one.haltedBy()).isEmpty();
+                    assertThat(out.size()).as("seed " + seed).isLessThanOrEqualTo(rules.mostOf(nodes));
+                    assertThat(nodes - out.size()).isGreaterThanOrEqualTo(rules.leastIn());
+                }
+            }
+        }
+    }
+}
