--- a/src/main/java/lupinwood/lab/FleetCost.java
+++ b/src/main/java/lupinwood/lab/FleetCost.java
@@ -12,6 +12,10 @@
 final class FleetCost implements Experiment {
     private static final int VOTERS = 5;
     private static final double SETTLES = 10;
+    private static final double CUT_SECONDS = 20;
+    private static final double QUARTER = 0.25;
+    /** A small fleet swings by itself; a large one has to come back spread. */
+    private static final double MOST_CROWD = 3;
     private final long seed;
     private final List<Integer> sizes;
     private final int seconds;
@@ -48,14 +52,42 @@
             if (perNode > first * 1.5) {
                 broken.add("bytes a node grow with the fleet's size");
             }
+            double beatsEach = (double) (fleet.beats - beats) / size / seconds;
+            double crowd = crowdAfterACut(fleet, size);
+            if (crowd > MOST_CROWD) {
+                broken.add(String.format(Locale.ROOT, "after a cut %d nodes came back at %.1f times the calm rate", size, crowd));
+            }
             boolean held = fleet.nodes.stream().anyMatch(node -> node.holds(DutyName.TRIAL));
             if (!held) {
                 broken.add("nobody holds the duty at " + size + " nodes");
             }
             line.append(String.format(Locale.ROOT, "%d nodes: %.2f beats and %.0f bytes a node and second, joined and held in"
-                    + " %.1f s, hand-overs in %d s %d; ", size, (double) (fleet.beats - beats) / size / seconds, perNode,
-                    fleet.firstHeld / 1e9, seconds, causeless));
+                    + " %.1f s, hand-overs in %d s %d, back after a cut at most %.1f times the calm rate; ", size, beatsEach, perNode,
+                    fleet.firstHeld / 1e9, seconds, causeless, crowd));
         }
         return new Outcome(line + "broken " + broken.size(), broken);
     }
+
+    /** All are cut from the council for some leases; then the most beats in a quarter of a second, beside the calm rate. */
+    private static double crowdAfterACut(TimedFleet fleet, int size) {
+        for (TimedFleet.Node one : fleet.nodes) {
+            for (int voter = 0; voter < VOTERS; voter++) {
+                if (one.place >= VOTERS) {
+                    fleet.links.cut(one.place, voter);
+                }
+            }
+        }
+        double now = fleet.time.now() / 1e9 + CUT_SECONDS;
+        fleet.time.playUntil(now);
+        fleet.links.mendAll();
+        long most = 0;
+        for (int i = 0; i < 80; i++) {
+            long before = fleet.beats;
+            now += QUARTER;
+            fleet.time.playUntil(now);
+            most = Math.max(most, fleet.beats - before);
+        }
+        // In calm each node has one beat a second, a third of the lease.
+        return most / (size * QUARTER);
+    }
 }
