--- a/src/main/java/lupinwood/lab/PermitsRun.java
+++ b/src/main/java/lupinwood/lab/PermitsRun.java
@@ -120,7 +120,10 @@
         List<ProcessFleet.Member> killed = new ArrayList<>();
         long nextFault = begun + 5000;
         int orders = 0;
-        for (long now = begun; now - begun < seconds * 1000L; now = System.currentTimeMillis()) {
+        for (long now = begun; now - begun < seconds * 1000L + 2 * HALT_BOUND_MILLIS;
+                now = System.currentTimeMillis()) {
+            // Who was let go last still has to go and to come back under the supervisor.
+            over = now - begun >= seconds * 1000L;
             for (ProcessFleet.Member member : fleet.members) {
                 if (!member.process.isUp() && !goneSince.containsKey(member)) {
                     goneSince.put(member, now);
@@ -134,7 +137,7 @@
                     killed.remove(member);
                 }
             }
-            if (now >= nextFault) {
+            if (now >= nextFault && !over) {
                 nextFault = now + 3000 + random.nextInt(5000);
                 switch (random.nextInt(3)) {
                     case 0 -> {
