Let the laboratory shift wall clocks, fill and slow folders, and leave out the early stop

Change: 'lab-node', a hidden launcher, serves with a wrong wall clock or a slow folder; a full folder by the process's own file limit; the wall clock is read in one place. 'duties-late', 'duties-no-early-stop' and 'duties-calm' beside 'duties', which has four more faults.

--- a/src/main/java/lupinwood/cli/Main.java
+++ b/src/main/java/lupinwood/cli/Main.java
@@ -18,7 +18,7 @@
     private static int run(String[] args) {
         Map<String, Command> commands =
                 Map.of("serve", new Serve(), "version", new Version(), "drill", new DrillCommand(),
-                        "config", new ConfigCommand(), "lab", new LabCommand(), "fleet", new FleetCommand());
+                        "config", new ConfigCommand(), "lab", new LabCommand(), "fleet", new FleetCommand(), "lab-node", new LabNode());
         JCommander parser = JCommander.newBuilder().programName(NAME).build();
         Help help = new Help();
         parser.addObject(help);
--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -19,7 +19,7 @@
  */
 @Parameters(commandDescription = "Serve as a node, on sockets, until SIGTERM; SIGHUP reads the configuration"
         + " again and moves to the addresses of executor, index and naming that it then has")
-final class Serve implements Command {
+class Serve implements Command {
     private static final int UNUSABLE = 2;
     private static final int FAILED = 1;
 
--- a/src/main/java/lupinwood/council/Council.java
+++ b/src/main/java/lupinwood/council/Council.java
@@ -41,6 +41,7 @@
 import lupinwood.fleet.Rules;
 import lupinwood.fleet.Seen;
 import lupinwood.fleet.Steward;
+import lupinwood.log.WallClock;
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
 
@@ -244,7 +245,7 @@
             return;
         }
         // The steward knows no wall clock; the line of history has one all the same.
-        Deed written = deed instanceof Deed.Back back ? new Deed.Back(back.permit(), back.why(), System.currentTimeMillis())
+        Deed written = deed instanceof Deed.Back back ? new Deed.Back(back.permit(), back.why(), millis())
                 : deed;
         raft.<Boolean>replicate(DeedText.of(written)).whenComplete((Ordered<Boolean> result, Throwable failed) -> {
             underWay.remove(deed);
@@ -278,6 +279,10 @@
         }
     }
 
+    private static long millis() {
+        return WallClock.now().toEpochMilli();
+    }
+
     public State state() {
         List<Seen> seen = leads() ? steward.picture(book, means.loop().now()) : List.of();
         return new State(self, leader(), raft.getTerm().getTerm(), seen, new ArrayList<>(book.duties()), book.digest(),
@@ -291,7 +296,7 @@
             return;
         }
         String before = book.answer(order.id());
-        long at = System.currentTimeMillis();
+        long at = millis();
         List<NodeName> out = steward.seenOut(book, means.loop().now());
         String against = !order.what().equals("leave") ? "" : book.against(order.node(), outs, out);
         Deed deed = switch (order.what()) {
--- a/src/main/java/lupinwood/council/Fleet.java
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -30,6 +30,7 @@
 import lupinwood.fleet.Steward;
 import lupinwood.fleet.Token;
 import lupinwood.log.Log;
+import lupinwood.log.WallClock;
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
 
@@ -161,7 +162,7 @@
         String id = newId != null ? newId : settings.name().text();
         List<String> founders = settings.names().stream().map(NodeName::text).toList();
         // The seconds of the wall clock matter once in a council's life: tokens of a lost one stay lower.
-        long above = System.currentTimeMillis() / 1000 * 1000;
+        long above = WallClock.now().getEpochSecond() * 1000;
         council = new Council(settings.name(), id, founders, settings.rules(), DUTIES, above,
                 new Council.Means(loop, this::post, folder, kept, random, text -> log.line("fleet: " + text)));
         council.start();
@@ -335,6 +336,9 @@
 
     private void replied(Reply reply) {
         String before = session.latest() == null ? "" : session.latest().trouble();
+        if (Spoilt.isWithoutEarlyStop()) {
+            session.holding().asks(reply.number(), loop.now());
+        }
         session.heard(reply, loop.now());
         if (reply.taken() && !reply.trouble().equals(before)) {
             log.line(reply.trouble().isEmpty() ? "fleet: no longer outside" : "fleet: outside, since " + reply.trouble());
--- a/src/main/java/lupinwood/council/Folder.java
+++ b/src/main/java/lupinwood/council/Folder.java
@@ -119,6 +119,7 @@
         try {
             store.commit();
             store.sync();
+            Spoilt.onSync();
             if (++flushes % COMPACT_EVERY == 0) {
                 store.compactFile(COMPACT_MILLIS);
             }
--- /dev/null
+++ b/src/main/java/lupinwood/council/Spoilt.java
@@ -0,0 +1,38 @@
+package lupinwood.council;
+
+import lupinwood.node.Span;
+
+/**
+ * What the laboratory's launcher spoils in a process of its own, to see that the council bears it, or that the audit finds
+ * a safeguard that is missing. Nothing in 'serve' sets any of it.
+ */
+public final class Spoilt {
+    private static volatile Span syncTakes = Span.ZERO;
+    private static volatile boolean withoutEarlyStop;
+
+    private Spoilt() {}
+
+    /** Each write to the folder takes so much longer, as on a disk that others keep busy. */
+    public static void syncTakes(Span span) {
+        syncTakes = span;
+    }
+
+    /** A holder counts its lease from when the grant came, not from before it asked. */
+    public static void leaveOutEarlyStop() {
+        withoutEarlyStop = true;
+    }
+
+    static boolean isWithoutEarlyStop() {
+        return withoutEarlyStop;
+    }
+
+    static void onSync() {
+        if (syncTakes.isPositive()) {
+            try {
+                Thread.sleep(syncTakes.nanos() / 1_000_000);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- a/src/main/java/lupinwood/lab/Caller.java
+++ b/src/main/java/lupinwood/lab/Caller.java
@@ -43,8 +43,13 @@
         }
     }
 
-    synchronized void send(String id, Audit.Sent ticket, String customer) throws IOException {
-        String fields = "req=" + id + ",ts=" + ticket.atMillis() + ",via=1,owner=" + customer + ",need=20.5,level=0.5"
+    void send(String id, Audit.Sent ticket, String customer) throws IOException {
+        send(id, ticket, customer, 0);
+    }
+
+    /** @param shiftMillis how far this machine's wall clock is off */
+    synchronized void send(String id, Audit.Sent ticket, String customer, long shiftMillis) throws IOException {
+        String fields = "req=" + id + ",ts=" + (ticket.atMillis() + shiftMillis) + ",via=1,owner=" + customer + ",need=20.5,level=0.5"
                 + (ticket.mark() == null ? "" : ",opkey=" + ticket.mark());
         audit.sent(id, ticket);
         tags.put(Long.toString(++tag), id);
--- a/src/main/java/lupinwood/lab/DutiesRun.java
+++ b/src/main/java/lupinwood/lab/DutiesRun.java
@@ -16,27 +16,32 @@
     private static final long LEASE_MILLIS = 3000;
     private static final int LATE_MILLIS = 4500;
     private static final int TICKETS_EVERY = 25;
+    private static final int FULL_LOAD_EVERY = 5;
+    private static final long HOUR_MILLIS = 3_600_000;
     private static final double LEAST_HELD = 0.5;
 
     private interface Job {
         void run() throws IOException, InterruptedException;
     }
 
+    /** What a run may be, beside the usual; in the last two what the acts reach refuses nothing, so early stops alone hold. */
+    enum Kind { USUAL, CALM, NO_TOKEN, LATE, NO_EARLY_STOP }
+
     private record Fault(double at, double lasts, String what, Job begin, Job end) {}
 
     private final long seed;
     private final int nodes;
     private final int seconds;
     private final List<String> wrong = new ArrayList<>();
-    private final boolean refusesLower;
+    private final Kind kind;
     private final Log log;
 
     /**
      * @param seconds how long, beside the start and the end
-     * @param refusesLower a safeguard that may be left out, to show that the audit finds it
+     * @param kind a safeguard may be left out, to show that the audit finds it, or all faults
      */
-    DutiesRun(long seed, int nodes, int seconds, boolean refusesLower, Log log) {
-        this.refusesLower = refusesLower;
+    DutiesRun(long seed, int nodes, int seconds, Kind kind, Log log) {
+        this.kind = kind;
         this.seed = seed;
         this.nodes = nodes;
         this.seconds = seconds;
@@ -46,7 +51,11 @@
     @Override
     public Outcome run() throws Exception {
         List<String> broken = new ArrayList<>();
-        try (ProcessFleet fleet = new ProcessFleet(VOTERS, nodes, LEASE_MILLIS, TICKETS_EVERY, refusesLower, seed, log::line)) {
+        try (ProcessFleet fleet = new ProcessFleet(VOTERS, nodes, LEASE_MILLIS,
+                kind == Kind.CALM ? FULL_LOAD_EVERY : TICKETS_EVERY, kind.compareTo(Kind.NO_TOKEN) < 0, seed, log::line)) {
+            if (kind == Kind.NO_EARLY_STOP) {
+                fleet.members.forEach(member -> member.process.wrong(List.of("--without-early-stop")));
+            }
             fleet.startAll();
             await(fleet, 30);
             List<Fault> faults = schedule(fleet);
@@ -56,6 +65,9 @@
             double held = play(fleet, faults);
             broken.addAll(fleet.leaveAll());
             broken.addAll(wrong);
+            if (kind == Kind.CALM && fleet.sink.handOvers() > 0) {
+                broken.add(fleet.sink.handOvers() + " hand-overs without a cause");
+            }
             if (fleet.sink.acts() == 0) {
                 broken.add("nobody ever held the duty");
             } else if (held < LEAST_HELD) {
@@ -80,8 +92,8 @@
     private List<Fault> schedule(ProcessFleet fleet) {
         Random random = new Random(seed);
         List<Fault> faults = new ArrayList<>();
-        for (double at = 2; at < seconds - 8; at += 3 + random.nextDouble() * 5) {
-            faults.add(fault(fleet, random, at));
+        for (double at = 2; at < seconds - 8 && kind != Kind.CALM; at += 3 + random.nextDouble() * 5) {
+            faults.add(kind.compareTo(Kind.LATE) >= 0 ? late(fleet, at) : fault(fleet, random, at));
         }
         return faults;
     }
@@ -91,7 +103,7 @@
         double lasts = 0.5 + random.nextDouble() * 6;
         ProcessFleet.Member one = fleet.members.get(random.nextInt(nodes));
         ProcessFleet.Member[] holder = new ProcessFleet.Member[1];
-        return switch (random.nextInt(11)) {
+        return switch (random.nextInt(15)) {
             case 0 -> new Fault(at, lasts, "the holder is stopped", () -> {
                 holder[0] = holder(fleet, one);
                 stop(holder[0]);
@@ -142,11 +154,43 @@
                 fleet.link(holder[0], Link::mend);
                 holder[0].toSink.mend();
             });
+            case 11 -> {
+                ProcessFleet.Member voter = fleet.members.get(random.nextInt(VOTERS));
+                yield new Fault(at, lasts + 4, voter.process.name() + "'s folder is full", () -> voter.process.fillDisk(4096),
+                        () -> {
+                            voter.kill();
+                            voter.start();
+                        });
+            }
+            case 12 -> {
+                ProcessFleet.Member voter = fleet.members.get(random.nextInt(VOTERS));
+                yield new Fault(at, lasts + 4, voter.process.name() + " comes back with a folder that is slow",
+                        () -> voter.startWrong(0, List.of("--sync-takes-ms", "300")), () -> voter.startWrong(0, List.of()));
+            }
+            case 13 -> {
+                long off = random.nextBoolean() ? HOUR_MILLIS : -HOUR_MILLIS;
+                yield new Fault(at, lasts + 4, one.process.name() + " comes back with its wall clock an hour off",
+                        () -> one.startWrong(off, List.of("--shift-ms", Long.toString(off))), () -> one.startWrong(0, List.of()));
+            }
+            case 14 -> new Fault(at, lasts + 4, one.process.name() + " comes back an hour behind, and its clock steps",
+                    () -> one.startWrong(0, List.of("--shift-ms", "-" + HOUR_MILLIS, "--step-after-ms", "3000")),
+                    () -> one.startWrong(0, List.of()));
             default -> new Fault(at, lasts, "all links of " + one.process.name() + " are slow",
                     () -> fleet.link(one, link -> link.delay(150)), () -> fleet.link(one, Link::mend));
         };
     }
 
+    /** The council's word comes to the holder late, and then not at all. */
+    private static Fault late(ProcessFleet fleet, double at) {
+        ProcessFleet.Member[] holder = new ProcessFleet.Member[1];
+        return new Fault(at, LEASE_MILLIS / 1000.0 * 4, "the holder hears the council late, and then not at all", () -> {
+            holder[0] = holder(fleet, fleet.members.get(0));
+            fleet.link(holder[0], link -> link.delayBack((int) (LEASE_MILLIS * 0.7)));
+            Thread.sleep(2 * LEASE_MILLIS);
+            fleet.link(holder[0], link -> link.swallow(true, false));
+        }, () -> fleet.link(holder[0], Link::mend));
+    }
+
     private static ProcessFleet.Member holder(ProcessFleet fleet, ProcessFleet.Member otherwise) {
         String name = fleet.sink.holder();
         return name.isEmpty() ? otherwise : fleet.members.get(Integer.parseInt(name.substring(1)));
--- a/src/main/java/lupinwood/lab/DutySink.java
+++ b/src/main/java/lupinwood/lab/DutySink.java
@@ -100,6 +100,10 @@
         return holder;
     }
 
+    synchronized int handOvers() {
+        return handOvers;
+    }
+
     synchronized long latest() {
         return latest;
     }
--- a/src/main/java/lupinwood/lab/Experiments.java
+++ b/src/main/java/lupinwood/lab/Experiments.java
@@ -5,7 +5,7 @@
 
 /** The runs by their names. */
 public final class Experiments {
-    public static final String NAMES = "tour, reload-storm, config-cost, pools, mixed-fronts, duties-time, duties, duties-no-token,"
+    public static final String NAMES = "tour, reload-storm, config-cost, pools, mixed-fronts, duties-time, duties, duties-no-token, duties-late, duties-no-early-stop, duties-calm,"
             + " fleet-cost, trials, fleet-tour, hand-overs, fleet-on-off, permits";
 
     private Experiments() {}
@@ -24,8 +24,14 @@
             case "pools" -> new PoolsRun(seed);
             case "mixed-fronts" -> new MixedFronts(seed, size > 0 ? size : 400, log);
             case "duties-time" -> new DutiesInTime(seed, size > 0 ? size : 200, out);
-            case "duties" -> new DutiesRun(seed, size > 0 ? size : 12, seconds > 0 ? seconds : 60, true, log);
-            case "duties-no-token" -> new DutiesRun(seed, size > 0 ? size : 12, seconds > 0 ? seconds : 60, false, log);
+            case "duties" -> new DutiesRun(seed, size > 0 ? size : 12, seconds > 0 ? seconds : 60, DutiesRun.Kind.USUAL, log);
+            case "duties-no-token" -> new DutiesRun(seed, size > 0 ? size : 12, seconds > 0 ? seconds : 60, DutiesRun.Kind.NO_TOKEN, log);
+            case "duties-late" -> new DutiesRun(seed, size > 0 ? size : 5, seconds > 0 ? seconds : 40,
+                    DutiesRun.Kind.LATE, log);
+            case "duties-no-early-stop" -> new DutiesRun(seed, size > 0 ? size : 5, seconds > 0 ? seconds : 40,
+                    DutiesRun.Kind.NO_EARLY_STOP, log);
+            case "duties-calm" -> new DutiesRun(seed, size > 0 ? size : 12, seconds > 0 ? seconds : 1800,
+                    DutiesRun.Kind.CALM, log);
             case "fleet-cost" -> new FleetCost(seed, size, seconds > 0 ? seconds : 60);
             case "trials" -> new TrialsRun(seed, size > 0 ? size : 12);
             case "fleet-tour" -> new FleetTour(seed, out);
--- a/src/main/java/lupinwood/lab/Link.java
+++ b/src/main/java/lupinwood/lab/Link.java
@@ -21,6 +21,7 @@
     private volatile boolean swallowsThere;
     private volatile boolean swallowsBack;
     private volatile int delayMillis;
+    private volatile int backMillis;
 
     Link(int to) throws IOException {
         this.to = to;
@@ -50,12 +51,18 @@
         delayMillis = millis;
     }
 
+    /** What is said back alone is late. */
+    void delayBack(int millis) {
+        backMillis = millis;
+    }
+
     /** As new. A connection on which something was swallowed is spoilt, and ends. */
     void mend() {
         boolean spoilt = swallowsThere || swallowsBack;
         cut = false;
         swallow(false, false);
         delayMillis = 0;
+        backMillis = 0;
         if (spoilt) {
             door.cut();
         }
@@ -89,9 +96,10 @@
             if (there ? swallowsThere : swallowsBack) {
                 continue;
             }
-            if (delayMillis > 0) {
+            int late = delayMillis + (there ? 0 : backMillis);
+            if (late > 0) {
                 try {
-                    Thread.sleep(delayMillis);
+                    Thread.sleep(late);
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                     return;
--- a/src/main/java/lupinwood/lab/NodeProcess.java
+++ b/src/main/java/lupinwood/lab/NodeProcess.java
@@ -29,6 +29,8 @@
     private volatile Process process;
     private volatile boolean stopped;
     private int starts;
+    /** What is wrong with the process at its next starts, as options of the laboratory's launcher. */
+    private volatile List<String> wrong = List.of();
 
     /** @param hears hears each line of its log */
     NodeProcess(String name, Path folder, String config, Consumer<String> hears) throws IOException {
@@ -59,7 +61,9 @@
         synchronized (lines) {
             lines.clear();
         }
-        Process one = new ProcessBuilder(java(LIMITS, "serve", "--config", config.toString()))
+        List<String> words = new ArrayList<>(List.of(wrong.isEmpty() ? "serve" : "lab-node", "--config", config.toString()));
+        words.addAll(wrong);
+        Process one = new ProcessBuilder(java(LIMITS, words.toArray(String[]::new)))
                 .directory(folder.toFile()).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
         process = one;
         // Guards against nodes that outlive the one who plays, should that be ended in the middle.
@@ -81,6 +85,18 @@
         });
     }
 
+    /** From its next start on it is started so. */
+    void wrong(List<String> options) {
+        wrong = List.copyOf(options);
+    }
+
+    /** None of its files may grow past so many bytes from now on, as on a disk that is full; until it is started anew. */
+    void fillDisk(long bytes) throws IOException, InterruptedException {
+        if (isUp()) {
+            new ProcessBuilder("prlimit", "--pid", Long.toString(process.pid()), "--fsize=" + bytes).start().waitFor();
+        }
+    }
+
     String name() {
         return name;
     }
--- a/src/main/java/lupinwood/lab/ProcessFleet.java
+++ b/src/main/java/lupinwood/lab/ProcessFleet.java
@@ -41,6 +41,7 @@
         private volatile long heldUpUntil;
         private volatile long slowUntil;
         private volatile boolean quiet;
+        private volatile long shiftMillis;
         private volatile long heldUpFrom = Long.MAX_VALUE;
 
         private Member(int place, List<Integer> voterPorts, DutySink sink) throws IOException {
@@ -111,6 +112,14 @@
             goesOn();
         }
 
+        /** Started anew with something wrong, or with nothing: its wall clock is so far off, which its caller shares. */
+        void startWrong(long shift, List<String> options) throws IOException, InterruptedException {
+            kill();
+            shiftMillis = shift;
+            process.wrong(options);
+            start();
+        }
+
         private void answered(String id) {
             Long sent = sentAt.remove(id);
             if (sent != null) {
@@ -155,7 +164,7 @@
                 String track = unlock ? "unlock" : chance.nextBoolean() ? "quote" : "history";
                 sentAt.put(id, System.nanoTime());
                 caller.send(id, new Audit.Sent(track, track + " " + id, mark, System.currentTimeMillis(), ABANDON_MILLIS),
-                        "north");
+                        "north", shiftMillis);
             } catch (IOException e) {
                 // Not up yet, or gone: what it had is excused with the process, else it is found as lost.
                 Caller gone = caller;
--- a/src/main/java/lupinwood/log/Log.java
+++ b/src/main/java/lupinwood/log/Log.java
@@ -35,7 +35,7 @@
 
     /** The log of this process, on standard error, with its writer. */
     public static Log start() {
-        Log log = new Log(System.err, Instant::now);
+        Log log = new Log(System.err, WallClock::now);
         Thread writer = new Thread(log::write, "log");
         writer.setDaemon(true);
         writer.start();
--- a/src/main/java/lupinwood/net/Decider.java
+++ b/src/main/java/lupinwood/net/Decider.java
@@ -12,6 +12,7 @@
 import lupinwood.core.Deadlines;
 import lupinwood.core.Host;
 import lupinwood.log.Log;
+import lupinwood.log.WallClock;
 import lupinwood.node.Moment;
 
 /**
@@ -45,7 +46,7 @@
     }
 
     static Moment clock() {
-        Instant instant = Instant.now();
+        Instant instant = WallClock.now();
         return new Moment(instant.getEpochSecond() * 1_000_000_000L + instant.getNano());
     }
 
