--- a/src/main/java/lupinwood/cli/FleetCommand.java
+++ b/src/main/java/lupinwood/cli/FleetCommand.java
@@ -7,7 +7,8 @@
 import java.util.List;
 
 /** The command 'fleet'. Its work stands in a class of its own, so that other commands load nothing of it. */
-@Parameters(commandDescription = "Ask the fleet's council: status; leave NODE; halt; resume; forget NODE. Exits with 0 when"
+@Parameters(commandDescription = "Ask the fleet's council: status; leave NODE; halt; resume; forget NODE;"
+        + " release FILE, or release --program VERSION; back; wanted NODE. Exits with 0 when"
         + " it is done, with 1 when nobody leads, with 2 when it can't be asked, with 3 when it may not be now")
 final class FleetCommand implements Command {
     @Parameter(description = "WHAT [NODE]", required = true)
@@ -28,7 +29,14 @@
     @Parameter(names = "--order", description = "A name for the order: given again after a lost answer, it is done once")
     private String order = Long.toHexString(new SecureRandom().nextLong());
 
-    @Parameter(names = "--wait", description = "With leave: ask until the node may go, and wait until it is gone")
+    @Parameter(names = "--program", description = "With release: the version of the program that nodes are started with")
+    private String program;
+
+    @Parameter(names = "--back-on-halt", description = "With release: go back by itself when the watch fails")
+    private boolean backsOnHalt;
+
+    @Parameter(names = "--wait", description = "With leave: ask until the node may go, and wait until it is gone; with"
+            + " release and back: print what happens until it has ended")
     private boolean waits;
 
     @Parameter(names = "--history", description = "With status: print what was done, by whom and when")
@@ -36,6 +44,6 @@
 
     @Override
     public int run() {
-        return new FleetWork(operator, json, within, history).run(words, new FleetWork.Asked(by, order, waits));
+        return new FleetWork(operator, json, within, history).run(words, new FleetWork.Asked(by, order, waits, program, backsOnHalt));
     }
 }
--- a/src/main/java/lupinwood/cli/FleetWork.java
+++ b/src/main/java/lupinwood/cli/FleetWork.java
@@ -4,7 +4,10 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,9 +20,12 @@
 import lupinwood.council.FleetSettings;
 import lupinwood.council.Question;
 import lupinwood.fleet.NodeName;
+import lupinwood.fleet.Release;
+import lupinwood.load.Common;
 import lupinwood.load.FileSources;
 import lupinwood.log.LibraryLogs;
 import lupinwood.log.Log;
+import lupinwood.net.NodeConfig;
 import lupinwood.node.Span;
 
 /** What the command 'fleet' does. */
@@ -27,8 +33,10 @@
     private static final int LEADERLESS = 1;
     private static final int USAGE = 2;
     private static final int NOT_NOW = 3;
-    private static final Set<String> WITH_NODE = Set.of("leave", "forget");
-    private static final Set<String> ALONE = Set.of("status", "halt", "resume");
+    private static final int HALTED = 4;
+    private static final int ENDED_OTHERWISE = 5;
+    private static final Set<String> WITH_NODE = Set.of("leave", "forget", "wanted");
+    private static final Set<String> ALONE = Set.of("status", "halt", "resume", "back");
     private static final long ASK_AGAIN_MILLIS = 500;
 
     private final String operator;
@@ -37,7 +45,7 @@
     private final boolean history;
 
     /** Who gives which order, and whether to wait until it is done. */
-    record Asked(String by, String order, boolean waits) {}
+    record Asked(String by, String order, boolean waits, String program, boolean backsOnHalt) {}
 
     FleetWork(String operator, boolean json, double within, boolean history) {
         this.history = history;
@@ -48,9 +56,11 @@
 
     int run(List<String> words, Asked asked) {
         boolean fits = words.size() == 1 && ALONE.contains(words.get(0))
-                || words.size() == 2 && WITH_NODE.contains(words.get(0));
+                || words.size() == 2 && WITH_NODE.contains(words.get(0))
+                || words.get(0).equals("release") && words.size() == (asked.program() == null ? 2 : 1);
         if (!fits) {
-            System.err.println("lupinwood: 'fleet' takes: status, leave NODE, halt, resume, forget NODE");
+            System.err.println("lupinwood: 'fleet' takes: status, leave NODE, halt, resume, forget NODE, release FILE,"
+                    + " release --program VERSION, back, wanted NODE");
             return USAGE;
         }
         Config config = Reader.readPart(new FileSources(), operator);
@@ -67,6 +77,9 @@
         Log quiet = new Log(new PrintStream(new ByteArrayOutputStream()), Instant::now);
         LibraryLogs.sendTo(quiet);
         try {
+            if (words.get(0).equals("wanted")) {
+                return wanted(settings, words.get(1), quiet);
+            }
             if (!words.get(0).equals("status")) {
                 return order(settings, words, asked, quiet);
             }
@@ -88,8 +101,19 @@
     }
 
     private int order(FleetSettings settings, List<String> words, Asked asked, Log quiet) throws InterruptedException {
-        NodeName node = words.size() > 1 ? new NodeName(words.get(1)) : null;
-        Council.Order order = new Council.Order(asked.order(), words.get(0), node, asked.by());
+        boolean release = words.get(0).equals("release");
+        NodeName node = words.size() > 1 && !release ? new NodeName(words.get(1)) : null;
+        Council.Wish wish = null;
+        if (release) {
+            try {
+                wish = wish(words, asked);
+            } catch (IOException | NodeConfig.Unusable e) {
+                System.err.println("lupinwood: can't be released: " + (e instanceof IOException ? "can't read " + words.get(1)
+                        : e.getMessage()));
+                return USAGE;
+            }
+        }
+        Council.Order order = new Council.Order(asked.order(), words.get(0), node, asked.by(), wish);
         while (true) {
             Council.Answer answer = Question.order(settings.voters().values(), order, within, quiet);
             if (answer == null) {
@@ -98,9 +122,10 @@
             }
             if (answer.done()) {
                 System.out.println(answer.text());
-                return words.get(0).equals("leave") && asked.waits() ? untilGone(settings, node, quiet) : 0;
+                return !asked.waits() ? 0 : words.get(0).equals("leave") ? untilGone(settings, node, quiet)
+                        : release || words.get(0).equals("back") ? untilEnded(settings, release, quiet) : 0;
             }
-            if (!asked.waits()) {
+            if (!asked.waits() || release) {
                 System.err.println("lupinwood: not now: " + answer.text());
                 return NOT_NOW;
             }
@@ -108,6 +133,59 @@
         }
     }
 
+    private static Council.Wish wish(List<String> words, Asked asked) throws IOException, NodeConfig.Unusable {
+        if (asked.program() != null) {
+            return new Council.Wish(Release.Kind.PROGRAM, asked.program(), "", asked.backsOnHalt());
+        }
+        String text = Files.readString(Path.of(words.get(1)));
+        return new Council.Wish(Release.Kind.CONFIGURATION, Common.read(text).digest(), text, asked.backsOnHalt());
+    }
+
+    /** For a supervisor: the program and the text that a node is to be started with. */
+    private int wanted(FleetSettings settings, String node, Log quiet) throws InterruptedException {
+        Question.Wanted wanted = Question.wanted(settings.named(new NodeName(node)), within, quiet);
+        if (wanted == null) {
+            System.err.println("lupinwood: nobody leads the council, so it can't be told");
+            return LEADERLESS;
+        }
+        System.out.println("program " + (wanted.program().isEmpty() ? "any" : wanted.program()));
+        System.out.println("text " + (wanted.digest().isEmpty() ? "none" : wanted.digest()));
+        return 0;
+    }
+
+    /** Prints what is written about it, until it has ended or was halted. */
+    private int untilEnded(FleetSettings settings, boolean forward, Log quiet) throws InterruptedException {
+        long printed = -1;
+        while (true) {
+            JsonObject leads = Question.ask(settings.voters().values(), within, quiet).values().stream()
+                    .filter(one -> one.get("leads").getAsBoolean()).findFirst().orElse(null);
+            if (leads != null) {
+                JsonObject state = leads.getAsJsonObject("state");
+                JsonArray all = state.getAsJsonArray("history");
+                String last = "";
+                for (JsonElement one : all) {
+                    long at = one.getAsJsonObject().get("atMillis").getAsLong();
+                    last = one.getAsJsonObject().get("text").getAsString();
+                    if (printed >= 0 && at > printed || one == all.get(all.size() - 1) && printed < 0) {
+                        System.out.println(Instant.ofEpochMilli(at) + " " + last);
+                    }
+                }
+                printed = all.isEmpty() ? 0 : all.get(all.size() - 1).getAsJsonObject().get("atMillis").getAsLong();
+                boolean open = state.has("release") && state.get("release").isJsonObject();
+                if (!open) {
+                    return last.contains(" is done") == forward ? 0 : ENDED_OTHERWISE;
+                }
+                printRelease(state);
+        if (!state.get("haltedBy").getAsString().isEmpty()) {
+                    System.err.println("lupinwood: halted by " + state.get("haltedBy").getAsString()
+                            + "; 'fleet resume' goes on, 'fleet back' goes back");
+                    return HALTED;
+                }
+            }
+            Thread.sleep(ASK_AGAIN_MILLIS);
+        }
+    }
+
     /** Until the council knows that the node is out, or isn't heard any more. */
     private int untilGone(FleetSettings settings, NodeName node, Log quiet) throws InterruptedException {
         while (true) {
@@ -171,6 +249,25 @@
         }
     }
 
+    private static void printRelease(JsonObject state) {
+        if (!state.has("release") || !state.get("release").isJsonObject()) {
+            return;
+        }
+        JsonObject release = state.getAsJsonObject("release");
+        String to = release.get("to").getAsString();
+        boolean program = release.get("kind").getAsString().equals("PROGRAM");
+        int runs = 0;
+        for (JsonElement one : state.getAsJsonArray("seen")) {
+            JsonObject report = one.getAsJsonObject().getAsJsonObject("report");
+            runs += report != null && report.get(program ? "program" : "runs").getAsString().equals(to) ? 1 : 0;
+        }
+        boolean back = release.get("turnedAt").getAsInt() >= 0;
+        System.out.println("release " + release.get("number").getAsLong() + " of " + (program ? "program " : "text ") + to
+                + " by " + release.get("by").getAsString() + (back ? ", on its way back" : "") + ": step "
+                + release.get("steps").getAsInt() + ", given to " + release.getAsJsonArray("given").size() + ", run by " + runs
+                + " of " + state.getAsJsonArray("seen").size() + " nodes");
+    }
+
     private static String text(JsonObject of, String name) {
         return of.getAsJsonObject(name).get("text").getAsString();
     }
--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -6,13 +6,17 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import lupinwood.Brain;
+import lupinwood.load.Common;
 import lupinwood.load.Loader;
 import lupinwood.load.Reloader;
+import lupinwood.load.TextAtStart;
+import lupinwood.load.TextHands;
 import lupinwood.log.LibraryLogs;
 import lupinwood.log.Log;
 import lupinwood.net.NodeConfig;
 import lupinwood.net.Serving;
 import lupinwood.reload.Look;
+import lupinwood.settings.Schema;
 
 /**
  * Runs one real node until SIGTERM, then leaves in good order; SIGHUP has it read its configuration again.
@@ -62,10 +66,25 @@
         if (config.doubtful() != null) {
             log.line("in doubt, and served all the same: " + config.doubtful());
         }
+        Common common = null;
+        if (!config.meaning().items(Schema.VOTER).isEmpty()) {
+            common = TextAtStart.ask(loader, config, log);
+            try {
+                config = common == null ? config : common.onto(config);
+            } catch (NodeConfig.Unusable e) {
+                log.line("fleet: " + e.getMessage()); // it was laid over once before
+            }
+        }
         boolean heard = Hangup.onEach(this::reload);
         Serving node = new Serving(config, Brain::new, log);
         // The same way out as by SIGTERM.
         node.onLeaveAsked(() -> new Thread(() -> System.exit(0), "asked to leave").start());
+        boolean watches = watching == Watching.ON || watching == Watching.AUTO && !heard;
+        Reloader reads = new Reloader(loader, loaded, looked, watches, node, log);
+        if (!config.meaning().items(Schema.VOTER).isEmpty()) {
+            Common laid = common;
+            node.onText(() -> new TextHands(loader, reads, node, laid, log));
+        }
         try {
             node.start();
         } catch (IOException e) {
@@ -74,8 +93,7 @@
             System.err.println("lupinwood: can't listen on " + config.listen() + ": " + cause.getMessage());
             return FAILED;
         }
-        boolean watches = watching == Watching.ON || watching == Watching.AUTO && !heard;
-        reloader = new Reloader(loader, loaded, looked, watches, node, log);
+        reloader = reads;
         reloader.start();
         log.line(triggers(heard, watches));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(node, log), "leave"));
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -59,6 +59,8 @@
     /** News of the host's own making, told once the node has said all it has to say. */
     private final Deque<Runnable> news = new ArrayDeque<>();
 
+    /** Null while nobody asks for it. */
+    private Answers answers;
     private Moment now;
     private Node node;
     /** When the executor was started; null before its first word. */
@@ -96,6 +98,18 @@
         checks = new HealthChecks(deadlines, ports.executor(), tags, this::now, this::sayHealth);
     }
 
+    /** From now on each final answer is told, or that its caller left before it. */
+    public void answersTo(Answers told) {
+        answers = told;
+    }
+
+    private void tell(Arrival arrival, Answer.Word word) {
+        if (answers != null) {
+            Span took = now.since(arrival.reached()).max(Span.ZERO);
+            answers.answered(arrival.track(), word, took, admission.says(arrival).agreed().compareTo(took) < 0);
+        }
+    }
+
     // ---- time ----
 
     /** Sets the time; a clock that was set back stands still until it is caught up with. */
@@ -169,6 +183,7 @@
             ports.log().accept("abandoned a ticket " + fault);
             ports.dispatchers().answer(connection, tag, Answer.plain(Answer.Word.ABANDONED, advice));
             if (fault.equals(Admission.TOO_LATE)) {
+                tell(arrival, Answer.Word.ABANDONED);
                 connections.unwanted(connection);
             } else {
                 connections.fault(connection);
@@ -211,6 +226,7 @@
         Taken taken = tickets.get(id.number());
         if (taken != null && !taken.answered) {
             taken.answered = true;
+            tell(taken.arrival, Answer.Word.ABANDONED);
             askIfUnsure(taken);
             taken.handle.left();
         }
@@ -229,6 +245,7 @@
     private void answer(Taken taken, Answer answer) {
         if (!taken.answered) {
             taken.answered = true;
+            tell(taken.arrival, answer.word());
             ports.dispatchers().answer(taken.connection, taken.tag, answer);
             connections.end(taken.connection, taken.tag);
         }
--- a/src/main/java/lupinwood/council/Council.java
+++ b/src/main/java/lupinwood/council/Council.java
@@ -37,10 +37,12 @@
 import lupinwood.fleet.NodeName;
 import lupinwood.fleet.OutRules;
 import lupinwood.fleet.Permit;
+import lupinwood.fleet.Release;
 import lupinwood.fleet.Reply;
 import lupinwood.fleet.Rules;
 import lupinwood.fleet.Seen;
 import lupinwood.fleet.Steward;
+import lupinwood.fleet.Tally;
 import lupinwood.log.WallClock;
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
@@ -64,16 +66,30 @@
 
     /** What one voter says of the council. */
     public record State(NodeName self, NodeName leader, int term, List<Seen> seen, List<Book.Held> duties,
-            String digest, long deeds, List<Permit> permits, String haltedBy, List<Book.Entry> history) {}
+            String digest, long deeds, List<Permit> permits, String haltedBy, List<Book.Entry> history, Release release,
+            Map<String, Tally> past) {}
 
     /**
      * What an operator asks for.
      *
      * @param id names it, so that one asked again after a lost answer is done once
-     * @param what leave, halt, resume or forget
+     * @param what leave, halt, resume, forget, release or back
      * @param node whom it is about, where it is about one
+     * @param wish what is to be released; else null
      */
-    public record Order(String id, String what, NodeName node, String by) {}
+    public record Order(String id, String what, NodeName node, String by, Wish wish) {
+        public Order(String id, String what, NodeName node, String by) {
+            this(id, what, node, by, null);
+        }
+    }
+
+    /**
+     * What an operator wants released.
+     *
+     * @param to a text's digest, or a version of the program
+     * @param text of a configuration; else empty
+     */
+    public record Wish(Release.Kind kind, String to, String text, boolean backsOnHalt) {}
 
     /** @param done whether it was carried out; else the text says why not now */
     public record Answer(boolean done, String text) {}
@@ -245,8 +261,7 @@
             return;
         }
         // The steward knows no wall clock; the line of history has one all the same.
-        Deed written = deed instanceof Deed.Back back ? new Deed.Back(back.permit(), back.why(), millis())
-                : deed;
+        Deed written = timed(deed);
         raft.<Boolean>replicate(DeedText.of(written)).whenComplete((Ordered<Boolean> result, Throwable failed) -> {
             underWay.remove(deed);
             if (done != null) {
@@ -261,6 +276,15 @@
         });
     }
 
+    private static Deed timed(Deed deed) {
+        return deed instanceof Deed.Back back ? new Deed.Back(back.permit(), back.why(), millis())
+                : deed instanceof Deed.Step one ? new Deed.Step(one.token(), one.release(), one.step(), one.back(), one.nodes(),
+                        one.why(), one.past(), millis())
+                : deed instanceof Deed.Turn one ? new Deed.Turn(one.order(), one.release(), one.by(), millis())
+                : deed instanceof Deed.Finish one ? new Deed.Finish(one.token(), one.release(), one.done(), one.why(), millis())
+                : deed instanceof Deed.Halt one ? new Deed.Halt(one.order(), one.halted(), one.by(), millis()) : deed;
+    }
+
     /** An heir needn't wait for its next beat to hear of it. */
     private void tellAgain(NodeName heir) {
         Waiting one = latest.get(heir);
@@ -279,14 +303,29 @@
         }
     }
 
+    /** The fleet's text of that digest, and which text a node is to go by; each null where it isn't known here. */
+    String text(String digest) {
+        return book.text(digest);
+    }
+
+    String wanted(NodeName node) {
+        return leads() ? book.wanted(node).runs() : null;
+    }
+
+    String wantedProgram(NodeName node) {
+        return leads() ? book.wantedProgram(node) : null;
+    }
+
     private static long millis() {
         return WallClock.now().toEpochMilli();
     }
 
-    public State state() {
+    /** @param withPast whether to tell how nodes did before the release, which is long */
+    public State state(boolean withPast) {
         List<Seen> seen = leads() ? steward.picture(book, means.loop().now()) : List.of();
         return new State(self, leader(), raft.getTerm().getTerm(), seen, new ArrayList<>(book.duties()), book.digest(),
-                book.deeds(), new ArrayList<>(book.permits()), book.haltedBy(), book.history());
+                book.deeds(), new ArrayList<>(book.permits()), book.haltedBy(), book.history(), book.release(),
+                withPast ? book.past() : null);
     }
 
     /** Carries out an operator's order, once; null to the answer where another leads, or nobody does. */
@@ -298,11 +337,20 @@
         String before = book.answer(order.id());
         long at = millis();
         List<NodeName> out = steward.seenOut(book, means.loop().now());
-        String against = !order.what().equals("leave") ? "" : book.against(order.node(), outs, out);
+        Wish wish = order.wish();
+        String against = switch (order.what()) {
+            case "leave" -> book.against(order.node(), outs, out);
+            case "release" -> book.againstRelease(wish.kind(), wish.to(), wish.text());
+            case "back" -> book.release() == null ? "no release is open" : book.release().back()
+                    ? book.release() + " is on its way back already" : "";
+            default -> "";
+        };
         Deed deed = switch (order.what()) {
             case "leave" -> new Deed.Allow(order.id(), order.node(), order.by(), at, outs, out);
             case "halt", "resume" -> new Deed.Halt(order.id(), order.what().equals("halt"), order.by(), at);
             case "forget" -> new Deed.Forget(order.node());
+            case "release" -> new Deed.Begin(order.id(), order.by(), wish.kind(), wish.to(), wish.text(), wish.backsOnHalt(), at);
+            case "back" -> new Deed.Turn(order.id(), book.release() == null ? 0 : book.release().number(), order.by(), at);
             default -> null;
         };
         if (before != null || deed == null || !against.isEmpty()) {
--- a/src/main/java/lupinwood/council/Fleet.java
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -26,13 +26,18 @@
 import lupinwood.fleet.Life;
 import lupinwood.fleet.NodeName;
 import lupinwood.fleet.Reply;
+import lupinwood.fleet.Report;
 import lupinwood.fleet.Session;
 import lupinwood.fleet.Steward;
+import lupinwood.fleet.Tally;
 import lupinwood.fleet.Token;
 import lupinwood.log.Log;
 import lupinwood.log.WallClock;
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
+import lupinwood.release.Act;
+import lupinwood.release.Conductor;
+import lupinwood.release.Picture;
 
 /**
  * One node's part in its fleet: its talk with the council, the duties it holds, and where it is a voter, its part in the
@@ -40,8 +45,9 @@
  * node serves on.
  */
 public final class Fleet {
-    public static final List<DutyName> DUTIES = List.of(DutyName.KEEPER, DutyName.TRIAL);
+    public static final List<DutyName> DUTIES = List.of(DutyName.KEEPER, DutyName.TRIAL, DutyName.CONDUCTOR);
     private static final Gson GSON = new Gson();
+    private static final String PROGRAM = Spoilt.program();
     private static final Span LOOK = Span.ofSeconds(0.02);
     private static final double KEEP_EVERY = 5; // leases
     private static final Span FOUNDING_EVERY = Span.ofSeconds(0.3);
@@ -49,9 +55,12 @@
     /**
      * What this node says of itself.
      *
+     * @param tally what it answered so far
+     * @param hands checks and takes the fleet's text
      * @param leave has the node leave as by the notice; returns at once
      */
-    public record Self(Supplier<Condition> condition, Supplier<List<String>> leftOut, Runnable leave) {}
+    public record Self(Supplier<Condition> condition, Supplier<List<String>> leftOut, Supplier<Tally> tally,
+            Supplier<Hands> hands, Runnable leave) {}
 
     private final FleetSettings settings;
     private final Self self;
@@ -74,6 +83,9 @@
     private Council council;
     private Founding founding;
     private KeeperWork keeper;
+    private TextWork texts;
+    private Conductor conductor;
+    private boolean releaseOpen;
     private boolean over;
 
     public Fleet(FleetSettings settings, Self self, Log log) {
@@ -98,6 +110,8 @@
             }
         }
         keeper = settings.report() == null ? null : new KeeperWork(settings.report(), log);
+        texts = new TextWork(self.hands().get(), loop::execute, this::fetch, log);
+        conductor = new Conductor(settings.name(), settings.limits());
         loop.execute(this::talk);
         loop.execute(this::look);
         log.line("fleet: " + settings.name() + " in " + settings.site() + ", life " + life + ", voters " + settings.names());
@@ -263,10 +277,36 @@
                 Council.Order order = GSON.fromJson(text.get("o"), Council.Order.class);
                 loop.offer(() -> order(order, from));
             }
+            case "deed" -> {
+                Deed deed = DeedText.deed(text.get("d").getAsString());
+                loop.offer(() -> {
+                    // Whoever says it, the book takes these under the conductor's token only; a halt harms nothing.
+                    boolean conductors = deed instanceof Deed.Step || deed instanceof Deed.Finish || deed instanceof Deed.Halt
+                            || deed instanceof Deed.Turn;
+                    if (council != null && conductors) {
+                        council.write(deed, done -> { });
+                    }
+                });
+            }
+            case "text?" -> {
+                String digest = text.get("digest").getAsString();
+                loop.offer(() -> tellText(digest, from));
+            }
+            case "wanted?" -> {
+                NodeName name = new NodeName(text.get("name").getAsString());
+                loop.offer(() -> tellWanted(name, from));
+            }
+            case "text" -> loop.offer(() -> texts.fetched(text.get("digest").getAsString(), text.get("text").getAsString()));
             case "ask" -> loop.offer(() -> from.say(told(text)));
             case "told" -> {
                 JsonElement state = text.get("state");
-                loop.offer(() -> keep(state));
+                boolean leads = text.get("leads").getAsBoolean();
+                loop.offer(() -> {
+                    keep(state);
+                    if (leads) {
+                        conduct(state);
+                    }
+                });
             }
             default -> { } // of a newer version
         }
@@ -301,6 +341,38 @@
         }
     }
 
+    private void fetch(String digest) {
+        JsonObject text = new JsonObject();
+        text.addProperty("k", "text?");
+        text.addProperty("digest", digest);
+        carriage.say(voters.get(session.talksTo()), text);
+    }
+
+    private void tellText(String digest, Carriage.Peer to) {
+        String known = council == null ? null : council.text(digest);
+        if (known != null) {
+            JsonObject text = new JsonObject();
+            text.addProperty("k", "text");
+            text.addProperty("digest", digest);
+            text.addProperty("text", known);
+            to.say(text);
+        }
+    }
+
+    /** For a node that is about to start: which text it is to go by, with the text; by whoever leads. */
+    private void tellWanted(NodeName name, Carriage.Peer to) {
+        String digest = council == null ? null : council.wanted(name);
+        JsonObject text = new JsonObject();
+        text.addProperty("k", "wanted");
+        text.addProperty("leads", digest != null);
+        if (digest != null) {
+            text.addProperty("digest", digest);
+            text.addProperty("text", council.text(digest));
+            text.addProperty("program", council.wantedProgram(name));
+        }
+        to.say(text);
+    }
+
     /** What this voter knows, for who asks. */
     private JsonObject told(JsonObject question) {
         JsonObject text = new JsonObject();
@@ -308,7 +380,7 @@
         text.addProperty("leads", council != null && council.isLeading());
         text.addProperty("leader", council == null || council.leader() == null ? "" : council.leader().text());
         text.add("number", question.get("number"));
-        text.add("state", council == null ? new JsonObject() : GSON.toJsonTree(council.state()));
+        text.add("state", council == null ? new JsonObject() : GSON.toJsonTree(council.state(question.has("past"))));
         return text;
     }
 
@@ -320,6 +392,7 @@
         }
         Moment now = loop.now();
         session.leavesOut(self.leftOut().get());
+        session.reports(new Report(PROGRAM, texts.runs(), texts.checked(), self.tally().get()));
         Session.Sent sent = session.beat(leaving ? Condition.LEAVING : self.condition().get(), now);
         if (sent != null) {
             say(sent);
@@ -343,6 +416,10 @@
         if (reply.taken() && !reply.trouble().equals(before)) {
             log.line(reply.trouble().isEmpty() ? "fleet: no longer outside" : "fleet: outside, since " + reply.trouble());
         }
+        if (reply.taken()) {
+            texts.follow(reply.wanted());
+            releaseOpen = reply.wanted() != null && reply.wanted().busy();
+        }
         if (reply.taken() && reply.leave() > 0 && !leaving) {
             log.line("fleet: leaves under permit " + reply.leave());
             leaving = true;
@@ -383,10 +460,17 @@
         }
         publish();
         Token token = session.holding().mayAct(DutyName.KEEPER, loop.now());
-        if (token != null) {
+        Token leads = session.holding().mayAct(DutyName.CONDUCTOR, loop.now());
+        if (session.latest() != null && session.isInTouch(loop.now())) {
+            texts.follow(session.latest().wanted());
+        }
+        if (token != null || leads != null && releaseOpen) {
             JsonObject ask = new JsonObject();
             ask.addProperty("k", "ask");
-            ask.addProperty("number", token.number());
+            ask.addProperty("number", 0);
+            if (leads != null && conductor.wantsPast()) {
+                ask.addProperty("past", true);
+            }
             carriage.say(voters.get(session.talksTo()), ask);
         }
         loop.after(settings.rules().beatHolding().times(0.5), this::look);
@@ -415,6 +499,34 @@
         }
     }
 
+    /** The conductor has the picture: it says what is next, under its token, to whoever leads. */
+    private void conduct(JsonElement told) {
+        Token token = session.holding().mayAct(DutyName.CONDUCTOR, loop.now());
+        if (token == null || !told.isJsonObject() || !told.getAsJsonObject().has("seen")) {
+            return;
+        }
+        Council.State state = GSON.fromJson(told, Council.State.class);
+        Picture picture = new Picture(state.release(), state.haltedBy(), state.seen(), state.permits(),
+                settings.outs().mostOf(state.seen().size()), state.past());
+        String before = conductor.says();
+        List<Act> acts = conductor.decide(picture, token, loop.now());
+        if (!conductor.says().equals(before) && !conductor.says().isEmpty()) {
+            log.line("fleet: " + state.release() + ": " + conductor.says());
+        }
+        for (Act act : acts) {
+            JsonObject text = new JsonObject();
+            if (act instanceof Act.Write write) {
+                text.addProperty("k", "deed");
+                text.addProperty("d", DeedText.of(write.deed()));
+            } else if (act instanceof Act.Let let) {
+                text.addProperty("k", "order");
+                text.add("o", GSON.toJsonTree(new Council.Order(let.order(), "leave", let.node(), "release "
+                        + state.release().number())));
+            }
+            carriage.say(voters.get(session.talksTo()), text);
+        }
+    }
+
     private void keeperFails(String why) {
         log.line("fleet: can't keep the picture, hands the duty on: " + why);
         session.failAt(DutyName.KEEPER, loop.now());
--- a/src/main/java/lupinwood/council/FleetSettings.java
+++ b/src/main/java/lupinwood/council/FleetSettings.java
@@ -12,6 +12,7 @@
 import lupinwood.fleet.Rules;
 import lupinwood.fleet.Site;
 import lupinwood.node.Span;
+import lupinwood.release.Limits;
 import lupinwood.settings.Meaning;
 import lupinwood.settings.Schema;
 
@@ -24,8 +25,11 @@
  * @param report where the keeper tells the fleet's picture; null for nowhere
  */
 public record FleetSettings(NodeName name, Site site, Map<NodeName, InetSocketAddress> voters, InetSocketAddress listen,
-        Path folder, InetSocketAddress report, Rules rules, OutRules outs) {
+        Path folder, InetSocketAddress report, Rules rules, OutRules outs, Limits limits) {
     private static final BigDecimal LEASE = new BigDecimal(3_000_000_000L);
+    private static final BigDecimal WATCH = new BigDecimal(60_000_000_000L);
+    private static final BigDecimal WATCH_MOST = new BigDecimal(900_000_000_000L);
+    private static final BigDecimal HARM = new BigDecimal("0.03");
     private static final BigDecimal DRIFT = new BigDecimal("0.01");
 
     /** Null where the file says nothing of a fleet. */
@@ -46,7 +50,14 @@
                         meaning.values().getOrDefault("fleet zone", "zone")), voters,
                 !votes ? null : listen != null ? address(listen) : voters.get(new NodeName(name)),
                 votes ? Path.of(meaning.values().getOrDefault("fleet folder", "")) : null,
-                meaning.value("fleet report") == null ? null : address(meaning.value("fleet report")), rules, outs(meaning));
+                meaning.value("fleet report") == null ? null : address(meaning.value("fleet report")), rules, outs(meaning),
+                limits(meaning, lease));
+    }
+
+    private static Limits limits(Meaning meaning, Span lease) {
+        return Limits.of(new Span(meaning.number("release watch", WATCH).longValue()),
+                new Span(meaning.number("release watch-most", WATCH_MOST).longValue()),
+                meaning.number("release harm", HARM).doubleValue(), lease);
     }
 
     private static OutRules outs(Meaning meaning) {
@@ -58,6 +69,11 @@
                 meaning.number("out least-in", BigDecimal.valueOf(usual.leastIn())).intValue());
     }
 
+    /** The same, asked for another node. */
+    public FleetSettings named(NodeName other) {
+        return new FleetSettings(other, site, voters, listen, folder, report, rules, outs, limits);
+    }
+
     public boolean votes() {
         return listen != null;
     }
--- /dev/null
+++ b/src/main/java/lupinwood/council/Hands.java
@@ -0,0 +1,38 @@
+package lupinwood.council;
+
+import java.util.function.Consumer;
+import lupinwood.fleet.Report;
+
+/** What a node does with the fleet's text. The outcomes may come by any thread. */
+public interface Hands {
+    /** A node that can't. */
+    Hands NONE = new Hands() {
+        @Override
+        public String runs() {
+            return "";
+        }
+
+        @Override
+        public void check(String digest, String text, Consumer<Report.Checked> done) {
+            done.accept(new Report.Checked(digest, false, false, "this node takes no text"));
+        }
+
+        @Override
+        public void take(String digest, String text, Consumer<String> done) {
+            done.accept("this node takes no text");
+        }
+    };
+
+    /** The digest of the text that it was started with; empty for none. */
+    String runs();
+
+    /** Says whether it could go by the text, and changes nothing. */
+    void check(String digest, String text, Consumer<Report.Checked> done);
+
+    /**
+     * Goes by the text from now on, wholly or not at all.
+     *
+     * @param done hears why not; empty where it does
+     */
+    void take(String digest, String text, Consumer<String> done);
+}
--- a/src/main/java/lupinwood/council/Question.java
+++ b/src/main/java/lupinwood/council/Question.java
@@ -18,8 +18,36 @@
     private static final Gson GSON = new Gson();
     private static final long AGAIN_MILLIS = 500;
 
+    /** Which text, and which program, a node is to be started with. */
+    public record Wanted(String digest, String text, String program) {}
+
     private Question() {}
 
+    /** Null where nobody who leads answered in time, or nobody can be reached. */
+    public static Wanted wanted(FleetSettings settings, Span within, Log log) throws InterruptedException {
+        BlockingQueue<Wanted> answers = new ArrayBlockingQueue<>(64);
+        Carriage carriage = new Carriage((from, text) -> {
+            if (text.get("k").getAsString().equals("wanted") && text.get("leads").getAsBoolean()) {
+                answers.offer(new Wanted(text.get("digest").getAsString(), text.get("text").getAsString(),
+                        text.get("program").getAsString()));
+            }
+        }, log);
+        try {
+            JsonObject text = new JsonObject();
+            text.addProperty("k", "wanted?");
+            text.addProperty("name", settings.name().text());
+            long end = System.nanoTime() + within.nanos();
+            Wanted wanted = null;
+            while (wanted == null && System.nanoTime() < end) {
+                settings.voters().values().forEach(voter -> carriage.say(voter, text));
+                wanted = answers.poll(Math.min(AGAIN_MILLIS, within.nanos() / 3_000_000), TimeUnit.MILLISECONDS);
+            }
+            return wanted;
+        } finally {
+            carriage.end();
+        }
+    }
+
     /**
      * What each voter that answered in time says, in the order of the answers; ends early once the one who leads has
      * answered.
--- a/src/main/java/lupinwood/council/Spoilt.java
+++ b/src/main/java/lupinwood/council/Spoilt.java
@@ -9,6 +9,7 @@
 public final class Spoilt {
     private static volatile Span syncTakes = Span.ZERO;
     private static volatile boolean withoutEarlyStop;
+    private static volatile String program;
 
     private Spoilt() {}
 
@@ -22,6 +23,16 @@
         withoutEarlyStop = true;
     }
 
+    /** What the program says that it is, so that two builds can be played with one. */
+    public static void program(String name) {
+        program = name;
+    }
+
+    static String program() {
+        String version = Fleet.class.getPackage().getImplementationVersion();
+        return program != null ? program : version == null ? "unpackaged" : version;
+    }
+
     static boolean isWithoutEarlyStop() {
         return withoutEarlyStop;
     }
--- /dev/null
+++ b/src/main/java/lupinwood/council/TextWork.java
@@ -0,0 +1,100 @@
+package lupinwood.council;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import lupinwood.fleet.Reply;
+import lupinwood.fleet.Report;
+import lupinwood.log.Log;
+
+/**
+ * Follows the council's word on the text that this node is to go by: has it fetched by its digest, checked when asked, and
+ * taken; one thing at a time. A text that wasn't taken isn't tried again until the council wants another. Belongs to the
+ * fleet's loop.
+ */
+final class TextWork {
+    private static final int MOST_KEPT = 3;
+
+    private final Hands hands;
+    private final Consumer<Runnable> loop;
+    private final Consumer<String> fetch;
+    private final Log log;
+    private final Map<String, String> texts = new HashMap<>();
+    private String runs;
+    private Report.Checked checked;
+    private String notTaken;
+    private boolean busy;
+
+    /**
+     * @param loop does a job on the fleet's loop
+     * @param fetch asks a voter for the text of a digest
+     */
+    TextWork(Hands hands, Consumer<Runnable> loop, Consumer<String> fetch, Log log) {
+        this.hands = hands;
+        this.loop = loop;
+        this.fetch = fetch;
+        this.log = log;
+        runs = hands.runs();
+    }
+
+    /** What the council last said; asked again and again. */
+    void follow(Reply.Wanted wanted) {
+        if (wanted == null || busy) {
+            return;
+        }
+        boolean takes = !wanted.runs().equals(runs) && !wanted.runs().equals(notTaken);
+        boolean checks = !wanted.checks().isEmpty() && (checked == null || !checked.digest().equals(wanted.checks()));
+        if (wanted.runs().equals(runs)) {
+            notTaken = null;
+        }
+        if (takes) {
+            with(wanted.runs(), text -> hands.take(wanted.runs(), text, why -> loop.accept(() -> taken(wanted.runs(), why))));
+        } else if (checks) {
+            with(wanted.checks(), text -> hands.check(wanted.checks(), text, told -> loop.accept(() -> {
+                busy = false;
+                checked = told;
+                log.line("fleet: the text " + told.digest() + (told.fits() ? told.restarts() ? " fits, and needs a restart"
+                        : " fits" : " does not fit: " + told.why()));
+            })));
+        }
+    }
+
+    private void with(String digest, Consumer<String> job) {
+        String text = digest.isEmpty() ? "" : texts.get(digest);
+        if (text == null) {
+            fetch.accept(digest);
+        } else {
+            busy = true;
+            job.accept(text);
+        }
+    }
+
+    private void taken(String digest, String why) {
+        busy = false;
+        if (why.isEmpty()) {
+            runs = digest;
+            notTaken = null;
+        } else {
+            notTaken = digest;
+        }
+        log.line("fleet: " + (why.isEmpty() ? "goes by " : "does not go by ") + (digest.isEmpty() ? "its own files alone"
+                : "the text " + digest) + (why.isEmpty() ? "" : ": " + why));
+    }
+
+    /** A voter sent it. */
+    void fetched(String digest, String text) {
+        if (texts.size() >= MOST_KEPT) {
+            texts.clear();
+        }
+        texts.put(digest, text);
+    }
+
+    String runs() {
+        return runs;
+    }
+
+    /** Null before any. */
+    Report.Checked checked() {
+        return checked;
+    }
+}
--- a/src/main/java/lupinwood/fleet/Book.java
+++ b/src/main/java/lupinwood/fleet/Book.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 
 /**
@@ -44,7 +45,7 @@
 
     /** The whole book, as it is kept and sent. */
     public record Page(List<Member> members, List<Held> duties, long lastToken, String digest, long deeds,
-            List<Permit> permits, long lastPermit, String haltedBy, List<Done> done, List<Entry> history) {}
+            List<Permit> permits, long lastPermit, String haltedBy, List<Done> done, List<Entry> history, Releases.Page releases) {}
 
     private static final int MOST_DUTIES = 64;
     private static final int MOST_PERMITS = 1024;
@@ -55,6 +56,7 @@
     private final TreeMap<NodeName, Member> members = new TreeMap<>();
     private final TreeMap<DutyName, Held> duties = new TreeMap<>();
     private final TreeMap<Long, Permit> permits = new TreeMap<>();
+    private final Releases releases = new Releases();
     private final ArrayDeque<Done> done = new ArrayDeque<>();
     private final ArrayDeque<Entry> history = new ArrayDeque<>();
     private long lastPermit;
@@ -85,11 +87,13 @@
         done.addAll(page.done());
         history.clear();
         history.addAll(page.history());
+        releases.open(page.releases());
     }
 
     public Page page() {
         return new Page(new ArrayList<>(members.values()), new ArrayList<>(duties.values()), lastToken, digest, deeds,
-                new ArrayList<>(permits.values()), lastPermit, haltedBy, new ArrayList<>(done), new ArrayList<>(history));
+                new ArrayList<>(permits.values()), lastPermit, haltedBy, new ArrayList<>(done), new ArrayList<>(history),
+                releases.page());
     }
 
     /** Whether the deed fitted and was done; one that no longer fits changes nothing. */
@@ -150,15 +154,104 @@
             lastToken = Math.max(1, found.above());
             return true;
         }
+        if (deed instanceof Deed.Begin begin) {
+            return begin(begin);
+        }
+        if (deed instanceof Deed.Step step) {
+            return step(step);
+        }
+        if (deed instanceof Deed.Turn turn) {
+            return turn(turn);
+        }
+        if (deed instanceof Deed.Finish finish) {
+            Release release = releases.release();
+            boolean fits = isUnder(DutyName.CONDUCTOR, finish.token()) && releases.finish(finish);
+            if (fits) {
+                write(finish.atMillis(), release + (finish.done() ? " is done" : " has ended, nodes run what they ran before")
+                        + (finish.why().isEmpty() ? "" : ": " + finish.why()));
+            }
+            return fits;
+        }
         Deed.Keep keep = (Deed.Keep) deed;
-        Held keeper = duties.get(DutyName.KEEPER);
-        if (keeper == null || keeper.isFree() || !keeper.token().equals(keep.token())) {
+        if (!isUnder(DutyName.KEEPER, keep.token())) {
             return false;
         }
         digest = keep.digest();
         return true;
     }
 
+    private boolean isUnder(DutyName duty, Token token) {
+        Held held = duties.get(duty);
+        return held != null && !held.isFree() && held.token().equals(token);
+    }
+
+    private boolean begin(Deed.Begin begin) {
+        if (answer(begin.order()) != null) {
+            return true; // it was done before
+        }
+        if (!haltedBy.isEmpty() || !releases.begin(begin)) {
+            return false;
+        }
+        did(begin.order(), releases.release() + " of " + begin.to());
+        write(begin.atMillis(), begin.by() + " began " + releases.release() + " of "
+                + (begin.kind() == Release.Kind.PROGRAM ? "the program " : "the configuration ") + begin.to());
+        return true;
+    }
+
+    private boolean step(Deed.Step step) {
+        if (!isUnder(DutyName.CONDUCTOR, step.token()) || !haltedBy.isEmpty() || !releases.step(step)) {
+            return false;
+        }
+        write(step.atMillis(), releases.release() + (step.back() ? " taken back from " : " given to ") + step.nodes().size()
+                + (step.nodes().size() == 1 ? " node, " : " nodes, ") + step.nodes().get(0)
+                + (step.nodes().size() == 1 ? "" : " first") + (step.why().isEmpty() ? "" : ": " + step.why()));
+        return true;
+    }
+
+    /** Nothing may hold up the way back: it ends a halt, whoever halted. */
+    private boolean turn(Deed.Turn turn) {
+        if (answer(turn.order()) != null) {
+            return true;
+        }
+        if (!releases.turn(turn.release())) {
+            return false;
+        }
+        haltedBy = "";
+        did(turn.order(), releases.release() + " turns back");
+        write(turn.atMillis(), turn.by() + " turned " + releases.release() + " back");
+        return true;
+    }
+
+    /** Why a release may not begin now; empty where it may. */
+    public String againstRelease(Release.Kind kind, String to, String text) {
+        return !haltedBy.isEmpty() ? haltedBy + " halted" : releases.against(kind, to, text);
+    }
+
+    /** The release that is open; null while none is. */
+    public Release release() {
+        return releases.release();
+    }
+
+    /** What each node answered over a watch before the open release, by its name. */
+    public Map<String, Tally> past() {
+        return releases.past();
+    }
+
+    /** What a node is to run. */
+    public Reply.Wanted wanted(NodeName node) {
+        return new Reply.Wanted(releases.wanted(node), releases.toCheck(), releases.release() != null);
+    }
+
+    /** The program that a node is to be started with; empty for whatever there is. */
+    public String wantedProgram(NodeName node) {
+        return releases.wantedProgram(node);
+    }
+
+    /** The fleet's text of that digest; null where it isn't kept. */
+    public String text(String digest) {
+        return releases.text(digest);
+    }
+
     private boolean allow(Deed.Allow allow) {
         if (answer(allow.order()) != null) {
             return true; // it was done before
--- a/src/main/java/lupinwood/fleet/Deed.java
+++ b/src/main/java/lupinwood/fleet/Deed.java
@@ -1,6 +1,7 @@
 package lupinwood.fleet;
 
 import java.util.List;
+import java.util.Map;
 
 /** What is written into the book, in the order agreed on. Each is done by {@link Book#apply} or found not to fit. */
 public sealed interface Deed {
@@ -45,6 +46,31 @@
     /** No permit is given any more, or permits may be given again. */
     record Halt(String order, boolean halted, String by, long atMillis) implements Deed {}
 
+    /**
+     * A release begins. Fits only while no other is open and nothing is halted.
+     *
+     * @param to a text's digest, or a version of the program
+     * @param text of a configuration; else empty
+     */
+    record Begin(String order, String by, Release.Kind kind, String to, String text, boolean backsOnHalt, long atMillis)
+            implements Deed {}
+
+    /**
+     * The next wave. Fits only under the conductor's token, while nothing is halted, and as the next one.
+     *
+     * @param nodes that get it, or on the way back have it no more
+     * @param why what the watch of the one before came to
+     * @param past what each node answered over a watch before the first wave, by its name; with that wave only
+     */
+    record Step(Token token, long release, int step, boolean back, List<NodeName> nodes, String why, Map<String, Tally> past,
+            long atMillis) implements Deed {}
+
+    /** A release turns back, which ends a halt: an operator's word, or the program's where the release said so. */
+    record Turn(String order, long release, String by, long atMillis) implements Deed {}
+
+    /** A release has ended; counts under the conductor's token. */
+    record Finish(Token token, long release, boolean done, String why, long atMillis) implements Deed {}
+
     /** Why a duty was taken from its holder. */
     enum Why { LAPSED, HANDED_ON, FAILED, WENT }
 }
--- a/src/main/java/lupinwood/fleet/DutyName.java
+++ b/src/main/java/lupinwood/fleet/DutyName.java
@@ -7,6 +7,9 @@
     /** Gathers the fleet's picture and tells it outside. */
     public static final DutyName KEEPER = new DutyName("keeper");
 
+    /** Leads releases. */
+    public static final DutyName CONDUCTOR = new DutyName("conductor");
+
     @Override
     public int compareTo(DutyName other) {
         return text.compareTo(other.text);
--- a/src/main/java/lupinwood/fleet/OutRules.java
+++ b/src/main/java/lupinwood/fleet/OutRules.java
@@ -12,7 +12,8 @@
 public record OutRules(int most, double share, int zoneMost, double zoneShare, int leastIn) {
     public static final OutRules USUAL = new OutRules(Integer.MAX_VALUE, 0.1, Integer.MAX_VALUE, 0.34, 1);
 
-    int mostOf(int all) {
+    /** Of so many nodes in all. */
+    public int mostOf(int all) {
         return Math.min(most, Math.max(1, (int) Math.floor(share * all + 1e-9)));
     }
 
--- a/src/main/java/lupinwood/fleet/Reply.java
+++ b/src/main/java/lupinwood/fleet/Reply.java
@@ -14,11 +14,21 @@
  * @param grants what the node holds; a duty that isn't named isn't its
  * @param found what the holder of the duty trial found lately
  * @param leave the permit under which the node is to go; zero where it is to stay
+ * @param wanted what the node is to run; null of an older version
  * @param others how many nodes the council heard lately
  */
 public record Reply(long number, boolean taken, NodeName leader, String trouble, Span lease, List<Grant> grants,
-        List<Finding> found, long leave, int others) {
+        List<Finding> found, long leave, Wanted wanted, int others) {
+    /**
+     * What a node is to run.
+     *
+     * @param runs the digest of the fleet's text that it is to go by; empty for none
+     * @param checks the digest of a text that it is to check; empty for none
+     * @param busy whether a release is open
+     */
+    public record Wanted(String runs, String checks, boolean busy) {}
+
     static Reply notTaken(long number, NodeName leader) {
-        return new Reply(number, false, leader, "", Span.ZERO, List.of(), List.of(), 0, 0);
+        return new Reply(number, false, leader, "", Span.ZERO, List.of(), List.of(), 0, null, 0);
     }
 }
--- /dev/null
+++ b/src/main/java/lupinwood/fleet/Report.java
@@ -0,0 +1,28 @@
+package lupinwood.fleet;
+
+/**
+ * What a node runs and how that does; a part of its beat. A node of an older version has none.
+ *
+ * @param program the version of the program
+ * @param runs the digest of the fleet's text that it goes by; empty for none
+ * @param checked what its own plan says of the text that it was asked about last; null before
+ * @param tally what it answered in this life
+ */
+public record Report(String program, String runs, Checked checked, Tally tally) {
+    private static final int MOST_CHARS = 200;
+
+    /**
+     * A node's word on a text.
+     *
+     * @param fits whether it could go by it
+     * @param restarts whether it would have to be started anew for that
+     * @param why not; empty where it fits
+     */
+    public record Checked(String digest, boolean fits, boolean restarts, String why) {}
+
+    Report cut() {
+        Checked shorter = checked == null || checked.why() == null || checked.why().length() <= MOST_CHARS ? checked
+                : new Checked(checked.digest(), checked.fits(), checked.restarts(), checked.why().substring(0, MOST_CHARS));
+        return new Report(program, runs, shorter, tally == null ? Tally.NOTHING : tally.cut());
+    }
+}
--- a/src/main/java/lupinwood/fleet/Session.java
+++ b/src/main/java/lupinwood/fleet/Session.java
@@ -38,6 +38,7 @@
     private final Map<DutyName, Grant> handsOn = new TreeMap<>();
     private final Map<DutyName, Grant> failsAt = new TreeMap<>();
     private List<String> leftOut = List.of();
+    private Report report;
     private final Map<String, Finding> found = new LinkedHashMap<>();
     private final Map<String, Moment> foundAt = new LinkedHashMap<>();
 
@@ -80,7 +81,7 @@
         List<Finding> aged = new ArrayList<>();
         found.forEach((server, one) -> aged.add(one.aged(now.since(foundAt.get(server)))));
         return new Sent(to, new Beat(Beat.VERSION, name, life, site, condition, number, holding.holds(now),
-                List.copyOf(handsOn.values()), List.copyOf(failsAt.values()), leftOut, aged).cut());
+                List.copyOf(handsOn.values()), List.copyOf(failsAt.values()), leftOut, aged, report).cut());
     }
 
     /** The last beat of this life, with all duties handed on. */
@@ -168,6 +169,11 @@
         leftOut = List.copyOf(servers);
     }
 
+    /** What this node runs and how that does, as it is told with each beat from now on. */
+    public void reports(Report told) {
+        report = told;
+    }
+
     /** What a try under the duty trial came to. */
     public void found(String server, boolean well, Token token, Moment now) {
         found.put(server, new Finding(server, well, token, Span.ZERO));
--- a/src/main/java/lupinwood/fleet/Steward.java
+++ b/src/main/java/lupinwood/fleet/Steward.java
@@ -307,7 +307,7 @@
         int others = (int) heard.values().stream().filter(one -> isFresh(one, now)).count();
         long leave = trouble.isEmpty() ? book.permits().stream().filter(permit -> permit.node().equals(beat.name())
                 && permit.life().equals(beat.life())).mapToLong(Permit::number).findFirst().orElse(0) : 0;
-        return new Reply(beat.number(), true, self, trouble, rules.lease(), grants, told, leave, others);
+        return new Reply(beat.number(), true, self, trouble, rules.lease(), grants, told, leave, book.wanted(beat.name()), others);
     }
 
     /** What a voter that doesn't lead says. */
@@ -334,7 +334,8 @@
                     case GONE -> Standing.OUT;
                 };
             }
-            picture.add(new Seen(member.name(), member.life(), member.site(), standing, same ? now.since(one.at) : null));
+            picture.add(new Seen(member.name(), member.life(), member.site(), standing, same ? now.since(one.at) : null,
+                    same ? one.beat.report() : null));
         }
         return picture;
     }
--- /dev/null
+++ b/src/main/java/lupinwood/lab/ReleasePlay.java
@@ -0,0 +1,392 @@
+package lupinwood.lab;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import lupinwood.fleet.Beat;
+import lupinwood.fleet.Book;
+import lupinwood.fleet.Condition;
+import lupinwood.fleet.Deed;
+import lupinwood.fleet.DutyName;
+import lupinwood.fleet.Life;
+import lupinwood.fleet.NodeName;
+import lupinwood.fleet.OutRules;
+import lupinwood.fleet.Permit;
+import lupinwood.fleet.Release;
+import lupinwood.fleet.Report;
+import lupinwood.fleet.Rules;
+import lupinwood.fleet.Site;
+import lupinwood.fleet.Steward;
+import lupinwood.fleet.Tally;
+import lupinwood.fleet.Token;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+import lupinwood.release.Act;
+import lupinwood.release.Conductor;
+import lupinwood.release.Limits;
+import lupinwood.release.Picture;
+
+/**
+ * One release through a fleet in made-up time, by the real book, steward and conductor. Nodes, their tickets and what is
+ * wrong with what is released are made up; what may never be is checked at each step, knowing the truth.
+ */
+final class ReleasePlay {
+    /** What is released, and what happens meanwhile. The first ones are good. */
+    enum Kind {
+        GOOD(true, 0), GOOD_WITH_ZONE_FAULT(true, 0), GOOD_WITH_FAULT_BELOW(true, 0), GOOD_LITTLE_TRAFFIC(true, 0),
+        GOOD_WITH_CRASHES(true, 0), GOOD_CONDUCTOR_DIES(true, 0), GOOD_BY_RESTARTS(true, 0),
+        BAD_AT_ONCE(false, 0.10), BAD_AFTER_A_MINUTE(false, 0.10), BAD_IN_ONE_ZONE(false, 0.15),
+        BAD_FOR_ONE_TRACK(false, 0.35), BAD_ONCE_HALF_HAVE_IT(false, 0.10), SLOWER(false, 0), RESTARTS(false, 0),
+        CRASHES_AT_START(false, 0), REFUSED_BY_ONE(false, 0);
+
+        final boolean good;
+        final double harm;
+
+        Kind(boolean good, double harm) {
+            this.good = good;
+            this.harm = harm;
+        }
+
+        boolean byRestarts() {
+            return this == GOOD_BY_RESTARTS || this == CRASHES_AT_START;
+        }
+    }
+
+    /** How it ended. */
+    enum End { DONE, BACK, HALTED, REFUSED, OPEN }
+
+    /**
+     * What it came to.
+     *
+     * @param caughtAt seconds after the first wave until it was turned back, halted or refused; below zero where it wasn't
+     * @param hadIt how many nodes had it by then, as a share
+     */
+    record Played(End end, double caughtAt, double hadIt, double seconds, String why, List<String> broken) {}
+
+    static final Span LEASE = Span.ofSeconds(3);
+    private static final double WATCH = 60;
+    private static final double WATCH_MOST = 600;
+    private static final double LONGEST = 4 * 3600;
+    private static final double[] WEIGHTS = {0.55, 0.33, 0.12};
+    private static final double WARMS_UP = 6;
+    private static final double A_MINUTE = 60;
+    private static final double SLOWNESS = 1.9;
+    private static final String OLD = "";
+    private static final String NEW = "new";
+    private static final DutyName DUTY = DutyName.CONDUCTOR;
+
+    private final class Node {
+        final NodeName name;
+        final Site site;
+        final int zone;
+        final double base;
+        final double mean;
+        final long[][] counts = new long[WEIGHTS.length][4];
+        final double[] seconds = new double[WEIGHTS.length];
+        String runs = OLD;
+        String takes = OLD;
+        double takesAt;
+        double changedAt = -1;
+        boolean checked;
+        long life;
+        double upAt;
+        boolean up = true;
+        boolean permitted;
+        long beats;
+
+        Node(int place, int zone) {
+            this.zone = zone;
+            name = new NodeName(String.format("n%03d", place));
+            site = new Site("r", "z" + zone);
+            base = 0.005 + 0.03 * random.nextDouble();
+            mean = 0.05 * Math.exp(0.4 * random.nextGaussian());
+            life = random.nextLong();
+        }
+
+        /** Its process went; it comes back after so long. */
+        void goes(double after) {
+            up = false;
+            upAt = time + after;
+        }
+
+        void comes() {
+            up = true;
+            life = random.nextLong();
+            beats = 0;
+            for (int i = 0; i < WEIGHTS.length; i++) {
+                counts[i] = new long[4];
+                seconds[i] = 0;
+            }
+            String wanted = book.wanted(name).runs();
+            if (!wanted.equals(runs)) {
+                changedAt = wanted.equals(NEW) ? time : -1;
+            }
+            runs = wanted;
+            takes = wanted;
+            if (kind == Kind.CRASHES_AT_START && runs.equals(NEW)) {
+                goes(2);
+                return;
+            }
+            upAt = time;
+        }
+
+        Condition condition() {
+            return time - upAt < WARMS_UP && life != 0 ? Condition.COLD : Condition.WARM;
+        }
+
+        /** What it answers in this second. */
+        void serves() {
+            for (int track = 0; track < WEIGHTS.length; track++) {
+                double expected = rate * WEIGHTS[track];
+                long all = Math.max(0, Math.round(expected + Math.sqrt(expected) * random.nextGaussian()));
+                double share = Math.min(0.95, base + trouble(zone) + harm(track));
+                double wrong = all * share + Math.sqrt(all * share * (1 - share)) * random.nextGaussian();
+                long bad = Math.max(0, Math.min(all, Math.round(wrong)));
+                counts[track][0] += all - bad;
+                counts[track][3] += bad;
+                boolean slow = kind == Kind.SLOWER && runs.equals(NEW);
+                seconds[track] += (all - bad) * mean * (slow ? SLOWNESS : 1) * (1 + 0.1 * random.nextGaussian());
+            }
+        }
+
+        private double harm(int track) {
+            if (!runs.equals(NEW)) {
+                return 0;
+            }
+            return switch (kind) {
+                case BAD_AT_ONCE -> kind.harm;
+                case BAD_AFTER_A_MINUTE -> time - changedAt > A_MINUTE ? kind.harm : 0;
+                case BAD_IN_ONE_ZONE -> zone == 0 ? kind.harm : 0;
+                case BAD_FOR_ONE_TRACK -> track == WEIGHTS.length - 1 ? kind.harm : 0;
+                case BAD_ONCE_HALF_HAVE_IT -> share(NEW) >= 0.5 ? kind.harm : 0;
+                default -> 0;
+            };
+        }
+
+        Beat beat() {
+            List<Tally.Count> told = new ArrayList<>();
+            for (int i = 0; i < WEIGHTS.length; i++) {
+                told.add(new Tally.Count("t" + i, counts[i][0], counts[i][1], counts[i][2], counts[i][3], seconds[i]));
+            }
+            Report.Checked says = !checked ? null : new Report.Checked(NEW, !refuses(), kind.byRestarts(), refuses() ? "no" : "");
+            return new Beat(Beat.VERSION, name, new Life(life), site, condition(), ++beats, List.of(), List.of(), List.of(),
+                    List.of(), List.of(), new Report("1", runs, says, new Tally(told)));
+        }
+
+        private boolean refuses() {
+            return kind == Kind.REFUSED_BY_ONE && name.equals(nodes.get(nodes.size() - 1).name);
+        }
+    }
+
+    private final Kind kind;
+    private final Random random;
+    private final double rate;
+    private final OutRules outs;
+    private final Rules rules = Rules.of(LEASE, 0.01);
+    private final Book book = new Book(4096);
+    private final Steward steward = new Steward(rules, List.of(DUTY));
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<String> broken = new ArrayList<>();
+    private final Consumer<String> trace;
+    private final Limits limits = Limits.of(Span.ofSeconds(WATCH), Span.ofSeconds(WATCH_MOST), 0.03, LEASE);
+    private double time;
+    private Conductor conductor;
+    private Token token;
+    private double faultFrom = Double.MAX_VALUE;
+    private double faultUntil;
+    private double firstWave = -1;
+    private boolean killed;
+
+    ReleasePlay(Kind kind, int count, int zones, long seed, Consumer<String> trace) {
+        this.kind = kind;
+        this.trace = trace;
+        random = new Random(seed);
+        rate = kind == Kind.GOOD_LITTLE_TRAFFIC ? 1 : 8 + random.nextInt(30);
+        outs = new OutRules(Integer.MAX_VALUE, 0.15, Integer.MAX_VALUE, 0.4, 1);
+        for (int i = 0; i < count; i++) {
+            nodes.add(new Node(i, i % zones));
+        }
+    }
+
+    private Moment now() {
+        return new Moment(Math.round(time * 1e9));
+    }
+
+    private double trouble(int zone) {
+        boolean on = time >= faultFrom && time < faultUntil;
+        return !on ? 0 : kind == Kind.GOOD_WITH_ZONE_FAULT ? zone == 0 ? 0.25 : 0 : 0.15;
+    }
+
+    private double share(String version) {
+        return (double) nodes.stream().filter(node -> node.runs.equals(version)).count() / nodes.size();
+    }
+
+    Played play() {
+        book.apply(new Deed.Found(1));
+        steward.leads(book, now());
+        for (; time < 30; time++) {
+            second();
+        }
+        book.apply(new Deed.Begin("o1", "ann", Release.Kind.CONFIGURATION, NEW, "text", true, 0));
+        double begun = time;
+        double caught = -1;
+        double had = 0;
+        String why = "";
+        End end = End.OPEN;
+        while (end == End.OPEN && time - begun < LONGEST) {
+            time++;
+            second();
+            Release release = book.release();
+            if (firstWave < 0 && release != null && release.steps() == 1) {
+                firstWave = time;
+                boolean faulty = kind == Kind.GOOD_WITH_ZONE_FAULT || kind == Kind.GOOD_WITH_FAULT_BELOW;
+                faultFrom = faulty ? time + random.nextInt(20) : faultFrom;
+                faultUntil = faultFrom + 100 + random.nextInt(200);
+            }
+            boolean stops = release == null || release.back() || !book.haltedBy().isEmpty();
+            if (stops && caught < 0) {
+                caught = time - Math.max(firstWave, begun);
+                had = share(NEW);
+                List<Book.Entry> history = book.history();
+                why = history.get(history.size() - 1).text();
+            }
+            if (release == null) {
+                boolean done = book.wanted(nodes.get(0).name).runs().equals(NEW);
+                end = done ? End.DONE : firstWave < 0 ? End.REFUSED : End.BACK;
+            } else if (!book.haltedBy().isEmpty()) {
+                end = End.HALTED;
+            }
+        }
+        whole(end);
+        return new Played(end, end == End.DONE || end == End.OPEN ? -1 : caught, had, time - begun, why, broken);
+    }
+
+    /** All that are there run what was agreed on. */
+    private void whole(End end) {
+        double until = time + 60;
+        for (; time < until; time++) {
+            second();
+        }
+        String all = end == End.DONE ? NEW : OLD;
+        for (Node node : nodes) {
+            if (end != End.HALTED && end != End.OPEN && node.up && !node.runs.equals(all)) {
+                breaks(node.name + " runs '" + node.runs + "' after the release ended as " + end);
+            }
+        }
+    }
+
+    private void breaks(String what) {
+        if (broken.size() < 5) {
+            broken.add(what);
+        }
+    }
+
+    private void second() {
+        faults();
+        for (Node node : nodes) {
+            if (!node.up && time >= node.upAt) {
+                node.comes();
+            }
+            if (!node.up) {
+                continue;
+            }
+            node.serves();
+            follow(node);
+            Beat beat = node.beat();
+            String trouble = steward.heard(beat, book, now());
+            steward.replyTo(beat, trouble, book, node.name, now());
+        }
+        steward.decide(book, 1, now()).forEach(book::apply);
+        conduct();
+        audit();
+    }
+
+    private void faults() {
+        double crashes = kind == Kind.GOOD_WITH_CRASHES ? 1.0 / 600 : 1.0 / 50_000;
+        for (Node node : nodes) {
+            boolean dies = random.nextDouble() < crashes
+                    || kind == Kind.RESTARTS && node.runs.equals(NEW) && random.nextDouble() < 1.0 / 45;
+            if (node.up && dies) {
+                node.goes(3 + random.nextInt(10));
+            }
+        }
+        if (kind == Kind.GOOD_CONDUCTOR_DIES && !killed && firstWave > 0 && time - firstWave > 40) {
+            killed = true;
+            Book.Held held = book.duty(DUTY);
+            nodes.stream().filter(node -> node.up && node.name.equals(held.holder())).forEach(node -> node.goes(10));
+        }
+    }
+
+    /** What a node does by the council's word. */
+    private void follow(Node node) {
+        String wanted = book.wanted(node.name).runs();
+        String checks = book.wanted(node.name).checks();
+        node.checked = checks.isEmpty() ? node.checked && book.release() != null : node.checked || random.nextInt(3) == 0;
+        if (!wanted.equals(node.takes)) {
+            node.takes = wanted;
+            node.takesAt = time + 1 + random.nextInt(3);
+        }
+        if (!kind.byRestarts() && !node.takes.equals(node.runs) && time >= node.takesAt) {
+            node.runs = node.takes;
+            node.changedAt = time;
+        }
+        boolean permit = book.permits().stream().anyMatch(one -> one.node().equals(node.name)
+                && one.life().equals(new Life(node.life)));
+        if (permit && !node.permitted) {
+            node.goes(5 + random.nextInt(10));
+        }
+        node.permitted = permit;
+    }
+
+    private void conduct() {
+        Book.Held held = book.duty(DUTY);
+        if (held.isFree() || nodes.stream().noneMatch(node -> node.up && node.name.equals(held.holder()))) {
+            return;
+        }
+        if (!held.token().equals(token)) {
+            token = held.token();
+            conductor = new Conductor(held.holder(), limits);
+            trace.accept(time + " " + held.holder() + " leads under " + token);
+        }
+        Picture picture = new Picture(book.release(), book.haltedBy(), steward.picture(book, now()), book.permits(),
+                outs.mostOf(nodes.size()), book.past());
+        String before = conductor.says();
+        for (Act act : conductor.decide(picture, token, now())) {
+            if (act instanceof Act.Write write) {
+                boolean fitted = book.apply(write.deed());
+                trace.accept(time + " " + write.deed() + " " + fitted);
+            } else if (act instanceof Act.Let let) {
+                book.apply(new Deed.Allow(let.order(), let.node(), "release", 0, outs, steward.seenOut(book, now())));
+            }
+        }
+        if (!conductor.says().equals(before)) {
+            trace.accept(time + " " + conductor.says());
+        }
+    }
+
+    private void audit() {
+        Set<String> versions = new HashSet<>();
+        nodes.forEach(node -> versions.add(node.runs));
+        if (versions.size() > 2) {
+            breaks("versions " + versions + " at once");
+        }
+        int permits = book.permits().size();
+        if (permits > outs.mostOf(nodes.size())) {
+            breaks(permits + " nodes out by permits of " + outs.mostOf(nodes.size()) + " allowed");
+        }
+        for (Permit permit : book.permits()) {
+            if (book.member(permit.node()) == null) {
+                breaks("a permit of an unknown node");
+            }
+        }
+        Release release = book.release();
+        for (Node node : nodes) {
+            if (node.runs.equals(NEW) && release != null && release.steps() == 0) {
+                breaks(node.name + " has it before it was given");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinwood/load/Common.java
@@ -0,0 +1,105 @@
+package lupinwood.load;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import lupinwood.config.Config;
+import lupinwood.config.Problem;
+import lupinwood.config.Reader;
+import lupinwood.config.Sources;
+import lupinwood.net.NodeConfig;
+import lupinwood.settings.Checks;
+import lupinwood.settings.Fault;
+import lupinwood.settings.Meaning;
+import lupinwood.settings.Schema;
+
+/**
+ * Entries that all nodes of a fleet have alike, over what each one's own files say. It is known by the digest of what it
+ * means: two texts that differ in comments, order or units only are one.
+ *
+ * @param digest empty for no entries
+ */
+public record Common(String digest, Meaning part) {
+    private static final String NAME = "the fleet's text";
+    private static final int DIGITS = 16;
+    private static final List<String> A_NODES_OWN = List.of("name", "listen", "seed");
+    private static final List<String> SECTIONS_OF_ITS_OWN = List.of("fleet ", "limits ", "ajp ");
+
+    /** A text that can't be a fleet's is told by the exception, in one line. */
+    public static Common read(String text) throws NodeConfig.Unusable {
+        if (text.isEmpty()) {
+            return new Common("", new Meaning(Map.of(), Map.of()));
+        }
+        Config config = Reader.readPart(new Sources() {
+            @Override
+            public String resolve(String from, String included) throws Unreadable {
+                if (!from.isEmpty()) {
+                    throw new Unreadable("a fleet's text includes no files, since each node would have its own");
+                }
+                return included;
+            }
+
+            @Override
+            public byte[] read(String name, int most) {
+                return text.getBytes(StandardCharsets.UTF_8);
+            }
+        }, NAME);
+        if (!config.problems().isEmpty()) {
+            Problem first = config.problems().all().get(0);
+            throw new NodeConfig.Unusable(first.place() + ": " + first.text()
+                    + (first.instead().isEmpty() ? "" : " (" + first.instead() + ")"));
+        }
+        Meaning part = config.meaning();
+        if (!part.items(Schema.VOTER).isEmpty()) {
+            throw new NodeConfig.Unusable("voters are named in each node's own file");
+        }
+        for (String name : part.values().keySet()) {
+            if (A_NODES_OWN.contains(name) || SECTIONS_OF_ITS_OWN.stream().anyMatch(name::startsWith)) {
+                throw new NodeConfig.Unusable(name + " is each node's own, and no fleet's text says it");
+            }
+        }
+        return new Common(digest(part), part);
+    }
+
+    private static String digest(Meaning part) {
+        StringBuilder text = new StringBuilder();
+        part.lists().forEach((list, items) -> text.append(list).append(items).append('\n'));
+        part.values().forEach((name, value) -> text.append(name).append('=').append(value).append('\n'));
+        try {
+            byte[] hash = MessageDigest.getInstance("SHA-256").digest(text.toString().getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(hash).substring(0, DIGITS);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** What a node with these files of its own goes by. */
+    public NodeConfig onto(NodeConfig own) throws NodeConfig.Unusable {
+        if (digest.isEmpty()) {
+            return own;
+        }
+        Meaning meaning = own.meaning();
+        Map<String, List<String>> lists = new LinkedHashMap<>(meaning.lists());
+        for (String list : Schema.LISTS) {
+            for (String item : part.items(list)) {
+                if (!meaning.items(list).contains(item)) {
+                    throw new NodeConfig.Unusable("there is no " + list + " " + item + " here");
+                }
+            }
+        }
+        Map<String, String> values = new LinkedHashMap<>(meaning.values());
+        values.putAll(part.values());
+        Meaning both = new Meaning(lists, Meaning.ordered(lists, values));
+        List<Fault> faults = Checks.of(both, List.of());
+        for (Fault fault : faults) {
+            if (fault.certain()) {
+                throw new NodeConfig.Unusable(fault.text() + " (" + fault.instead() + ")");
+            }
+        }
+        return own.with(both);
+    }
+}
--- a/src/main/java/lupinwood/load/Loader.java
+++ b/src/main/java/lupinwood/load/Loader.java
@@ -19,6 +19,10 @@
     private final Path file;
     /** The operator's own entries beside the platform's JSON, or null. */
     private final Path operator;
+    /** What all nodes of a fleet have over their own files; null for nothing. */
+    private volatile Common common;
+    /** As the files alone said it last. */
+    private volatile NodeConfig own;
 
     public Loader(Path file, Path operator) {
         this.file = file;
@@ -30,7 +34,24 @@
         return file.toString().endsWith(".kdl");
     }
 
+    /** What the files say, with what all nodes of the fleet have over it. */
     public Loaded load() throws NodeConfig.Unusable {
+        Loaded read = read();
+        own = read.config();
+        return common == null ? read : new Loaded(common.onto(read.config()), read.files(), read.provesWhole());
+    }
+
+    /** From now on that is laid over the files. */
+    void lay(Common over) {
+        common = over;
+    }
+
+    /** As the files alone said it when they were read last. */
+    NodeConfig own() {
+        return own;
+    }
+
+    private Loaded read() throws NodeConfig.Unusable {
         if (!isLanguage(file) && operator == null) {
             return new Loaded(NodeConfig.read(file), List.of(file), true);
         }
--- a/src/main/java/lupinwood/load/Reloader.java
+++ b/src/main/java/lupinwood/load/Reloader.java
@@ -2,6 +2,8 @@
 
 import java.nio.file.Path;
 import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import lupinwood.log.Log;
@@ -24,6 +26,7 @@
     /** The files of the configuration read last. */
     private List<Path> files;
     private boolean signalled;
+    private final Deque<Runnable> jobs = new ArrayDeque<>();
     /** Whether the triggers are at rest. */
     private boolean idle = true;
 
@@ -63,7 +66,11 @@
     private void work() {
         try {
             while (true) {
-                await();
+                Runnable job = await();
+                if (job != null) {
+                    job.run();
+                    continue;
+                }
                 Look before = FileLooks.at(files);
                 if (triggers.looked(before, clock())) {
                     read(before);
@@ -79,8 +86,12 @@
         idle = triggers.isAtRest();
     }
 
-    private synchronized void await() throws InterruptedException {
+    /** A job that is to be done here first, or null. */
+    private synchronized Runnable await() throws InterruptedException {
         while (!signalled) {
+            if (!jobs.isEmpty()) {
+                return jobs.poll();
+            }
             Moment next = triggers.next();
             if (next.equals(Moment.NEVER)) {
                 wait();
@@ -88,16 +99,23 @@
             }
             long millis = TimeUnit.NANOSECONDS.toMillis(next.since(clock()).nanos()) + 1;
             if (millis <= 0) {
-                return;
+                return null;
             }
             wait(millis);
-            if (!signalled && !clock().isBefore(next)) {
-                return;
+            if (!signalled && jobs.isEmpty() && !clock().isBefore(next)) {
+                return null;
             }
         }
         signalled = false;
         idle = false;
         triggers.signalled(clock());
+        return null;
+    }
+
+    /** Has it done between two readings, on the thread that reads. */
+    synchronized void job(Runnable job) {
+        jobs.add(job);
+        notifyAll();
     }
 
     private void read(Look before) {
--- a/src/main/java/lupinwood/net/FleetPart.java
+++ b/src/main/java/lupinwood/net/FleetPart.java
@@ -3,13 +3,16 @@
 import java.math.BigDecimal;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import lupinwood.core.Deadlines;
 import lupinwood.core.Host;
 import lupinwood.council.Fleet;
 import lupinwood.council.FleetSettings;
 import lupinwood.council.FleetView;
+import lupinwood.council.Hands;
 import lupinwood.fleet.Condition;
 import lupinwood.fleet.DutyName;
+import lupinwood.fleet.Tally;
 import lupinwood.fleet.Token;
 import lupinwood.log.Log;
 import lupinwood.node.Moment;
@@ -33,19 +36,23 @@
     private Host host;
     private volatile Condition condition = Condition.COLD;
     private volatile List<String> leftOut = List.of();
+    private final Counts counts = new Counts();
+    private volatile Tally tally = Tally.NOTHING;
     private List<FleetView.Found> heard = List.of();
     /** The token of the try that is under way. */
     private Token tries;
 
     /**
      * @param servers null where none carries out tickets
+     * @param hands checks and takes the fleet's text; asked for when the fleet's part starts
      * @param leave has this node leave as by the notice; returns at once
      */
-    FleetPart(Meaning meaning, AjpServers servers, Deadlines deadlines, Runnable leave, Log log) {
+    FleetPart(Meaning meaning, AjpServers servers, Deadlines deadlines, Supplier<Hands> hands, Runnable leave, Log log) {
         this.deadlines = deadlines;
         this.servers = servers;
         warmAfter = new Span(meaning.number("rules warm-after", BigDecimal.ZERO).longValue());
-        fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut, leave), log);
+        fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut, () -> tally, hands, leave),
+                log);
     }
 
     void start() {
@@ -55,6 +62,7 @@
     /** On the deciding thread. */
     void serve(Host served) {
         host = served;
+        served.answersTo(counts);
         if (servers != null) {
             servers.pool().trialsBy(new InCommon());
             servers.markTrials(() -> tries == null ? Map.of() : Map.of("X-Duty-Token", tries.toString()));
@@ -67,6 +75,7 @@
     }
 
     private void look() {
+        tally = counts.tally();
         condition = host.isWarm(warmAfter) ? Condition.WARM : Condition.COLD;
         if (servers != null) {
             Pool pool = servers.pool();
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -7,9 +7,11 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import lupinwood.core.Deadlines;
 import lupinwood.core.Host;
+import lupinwood.council.Hands;
 import lupinwood.log.Log;
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
@@ -65,6 +67,8 @@
     /** Null where the configuration names no voters, which then loads nothing of it. */
     private final FleetPart fleet;
     private volatile Runnable leaveAsked = () -> { };
+    /** Null until told; a node without a fleet never loads it. */
+    private volatile Supplier<Hands> hands;
     private final IndexLink index;
     private final NamingReporter naming;
     private final Host host;
@@ -85,7 +89,8 @@
         servers = config.meaning().items(Schema.SERVER).isEmpty() ? null
                 : new AjpServers(config.meaning(), config.seed(), means);
         fleet = config.meaning().items(Schema.VOTER).isEmpty() ? null
-                : new FleetPart(config.meaning(), servers, deadlines, () -> leaveAsked.run(), log);
+                : new FleetPart(config.meaning(), servers, deadlines,
+                        () -> hands == null ? Hands.NONE : hands.get(), () -> leaveAsked.run(), log);
         index = new IndexLink(config.index(), means);
         naming = new NamingReporter(config.naming(), config.name(), means);
         int connections = Math.max(config.sockets() / 2 + 1, config.sockets() - OWN_DESCRIPTORS);
@@ -100,6 +105,11 @@
         leaveAsked = job;
     }
 
+    /** Who checks and takes the fleet's text; to be set before {@link #start}. */
+    public void onText(Supplier<Hands> who) {
+        hands = who;
+    }
+
     /** Listens and serves until told to leave; an address in use is told by the exception. */
     public void start() throws IOException {
         try {
--- a/src/main/java/lupinwood/settings/Schema.java
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -44,6 +44,7 @@
     private static final String FIXED = "the node's picture of its machine is built on it from the start";
     private static final String ROUTED = "routes are read once";
     private static final String BOUNDS = "who leads the council goes by its own file";
+    private static final String LED = "whoever leads a release goes by its own file";
     private static final String JOINED = "the node joins its fleet with it once";
     private static final String JUDGED = "the decisions read it anew each time, and no rule hangs on it";
 
@@ -249,6 +250,12 @@
                 .change(RESTART, BOUNDS).says("How much of one zone may be out at once.");
         at("out least-in", "operator.out.least_in", COUNT).from("0", "1000000").otherwise("1").change(RESTART, BOUNDS)
                 .says("How many nodes of the fleet have to stay in.");
+        at("release watch", "operator.release.watch_ns", SPAN).from("1000000000", DAY).otherwise("1m").change(RESTART, LED)
+                .says("How long each wave of a release is watched at the least.");
+        at("release watch-most", "operator.release.watch_most_ns", SPAN).from("1000000000", DAY).otherwise("15m")
+                .change(RESTART, LED).says("How long a wave is watched while it isn't sure; then the release halts.");
+        at("release harm", "operator.release.harm", SHARE).from("0.001", "0.5").otherwise("3%").change(RESTART, LED)
+                .says("The part of all tickets that may not go wrong beside what goes wrong anyway.");
         at("voter * address", "operator.voters.#.address", ADDRESS).needed().change(AT_ONCE, "what is said next goes there")
                 .says("Where the voter is reached; three or five nodes are voters, by their own names.");
     }
--- a/src/test/java/lupinwood/fleet/StewardTest.java
+++ b/src/test/java/lupinwood/fleet/StewardTest.java
@@ -21,7 +21,7 @@
 
     private Beat beat(String name, int life, Condition condition, List<Grant> handsOn, List<Grant> failsAt) {
         return new Beat(Beat.VERSION, new NodeName(name), new Life(life), new Site("r", "z"), condition, ++number, List.of(),
-                handsOn, failsAt, List.of(), List.of());
+                handsOn, failsAt, List.of(), List.of(), null);
     }
 
     private Reply say(Beat beat, double seconds) {
@@ -126,7 +126,7 @@
         }
         assertThat(warm("e", 5.4).trouble()).contains("no more than 3");
         Beat newer = new Beat(9, new NodeName("f"), new Life(1), new Site("r", "z"), Condition.WARM, 1, List.of(), List.of(),
-                List.of(), List.of(), List.of());
+                List.of(), List.of(), List.of(), null);
         assertThat(steward.heard(newer, book, at(5.5))).contains("form 9");
     }
 
@@ -135,13 +135,13 @@
         Holding holding = new Holding(RULES);
         holding.asks(1, at(10));
         Reply reply = new Reply(1, true, SELF, "", RULES.lease(), List.of(new Grant(DutyName.TRIAL, new Token(7))),
-                List.of(), 0, 1);
+                List.of(), 0, null, 1);
         holding.told(reply, at(11.5));
         assertThat(holding.mayAct(DutyName.TRIAL, at(12.93))).isEqualTo(new Token(7));
         assertThat(holding.mayAct(DutyName.TRIAL, at(12.95))).as("3 s less the drift, from 10 s on").isNull();
         holding.asks(2, at(13));
         assertThat(holding.giveUp(DutyName.TRIAL).token().number()).isEqualTo(7);
-        holding.told(new Reply(2, true, SELF, "", RULES.lease(), reply.grants(), List.of(), 0, 1), at(13.1));
+        holding.told(new Reply(2, true, SELF, "", RULES.lease(), reply.grants(), List.of(), 0, null, 1), at(13.1));
         assertThat(holding.mayAct(DutyName.TRIAL, at(13.2))).as("given up for good under this token").isNull();
     }
 }
