Let servers below rest by agreement, and bring releases back that need restarts

Change: 'fleet rest, unrest', told by each node when it has nothing there; nodes that start ask first which servers rest; a text that wasn't taken is checked, and the conductor lets such nodes go.

--- a/src/main/java/lupinwood/cli/FleetCommand.java
+++ b/src/main/java/lupinwood/cli/FleetCommand.java
@@ -8,7 +8,8 @@
 
 /** The command 'fleet'. Its work stands in a class of its own, so that other commands load nothing of it. */
 @Parameters(commandDescription = "Ask the fleet's council: status; leave NODE; halt; resume; forget NODE;"
-        + " release FILE, or release --program VERSION; back; wanted NODE. Exits with 0 when"
+        + " release FILE, or release --program VERSION; back; wanted NODE;"
+        + " rest SERVER; unrest SERVER. Exits with 0 when"
         + " it is done, with 1 when nobody leads, with 2 when it can't be asked, with 3 when it may not be now")
 final class FleetCommand implements Command {
     @Parameter(description = "WHAT [NODE]", required = true)
--- a/src/main/java/lupinwood/cli/FleetWork.java
+++ b/src/main/java/lupinwood/cli/FleetWork.java
@@ -1,5 +1,6 @@
 package lupinwood.cli;
 
+import com.google.gson.Gson;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -17,6 +18,7 @@
 import lupinwood.config.Config;
 import lupinwood.config.Reader;
 import lupinwood.council.Council;
+import lupinwood.council.Emptied;
 import lupinwood.council.FleetSettings;
 import lupinwood.council.Question;
 import lupinwood.fleet.NodeName;
@@ -35,7 +37,7 @@
     private static final int NOT_NOW = 3;
     private static final int HALTED = 4;
     private static final int ENDED_OTHERWISE = 5;
-    private static final Set<String> WITH_NODE = Set.of("leave", "forget", "wanted");
+    private static final Set<String> WITH_NODE = Set.of("leave", "forget", "wanted", "rest", "unrest");
     private static final Set<String> ALONE = Set.of("status", "halt", "resume", "back");
     private static final long ASK_AGAIN_MILLIS = 500;
 
@@ -60,7 +62,8 @@
                 || words.get(0).equals("release") && words.size() == (asked.program() == null ? 2 : 1);
         if (!fits) {
             System.err.println("lupinwood: 'fleet' takes: status, leave NODE, halt, resume, forget NODE, release FILE,"
-                    + " release --program VERSION, back, wanted NODE");
+                    + " release --program VERSION, back, wanted NODE, rest SERVER,"
+                    + " unrest SERVER");
             return USAGE;
         }
         Config config = Reader.readPart(new FileSources(), operator);
@@ -102,7 +105,8 @@
 
     private int order(FleetSettings settings, List<String> words, Asked asked, Log quiet) throws InterruptedException {
         boolean release = words.get(0).equals("release");
-        NodeName node = words.size() > 1 && !release ? new NodeName(words.get(1)) : null;
+        boolean rests = words.get(0).endsWith("rest");
+        NodeName node = words.size() > 1 && !release && !rests ? new NodeName(words.get(1)) : null;
         Council.Wish wish = null;
         if (release) {
             try {
@@ -113,7 +117,8 @@
                 return USAGE;
             }
         }
-        Council.Order order = new Council.Order(asked.order(), words.get(0), node, asked.by(), wish);
+        Council.Order order = new Council.Order(asked.order(), words.get(0), node, asked.by(), wish,
+                rests ? words.get(1) : null);
         while (true) {
             Council.Answer answer = Question.order(settings.voters().values(), order, within, quiet);
             if (answer == null) {
@@ -123,6 +128,7 @@
             if (answer.done()) {
                 System.out.println(answer.text());
                 return !asked.waits() ? 0 : words.get(0).equals("leave") ? untilGone(settings, node, quiet)
+                        : words.get(0).equals("rest") ? untilEmpty(settings, words.get(1), quiet)
                         : release || words.get(0).equals("back") ? untilEnded(settings, release, quiet) : 0;
             }
             if (!asked.waits() || release) {
@@ -143,7 +149,7 @@
 
     /** For a supervisor: the program and the text that a node is to be started with. */
     private int wanted(FleetSettings settings, String node, Log quiet) throws InterruptedException {
-        Question.Wanted wanted = Question.wanted(settings.named(new NodeName(node)), within, quiet);
+        Question.Wanted wanted = Question.wanted(settings.voters().values(), new NodeName(node), within, quiet);
         if (wanted == null) {
             System.err.println("lupinwood: nobody leads the council, so it can't be told");
             return LEADERLESS;
@@ -153,6 +159,26 @@
         return 0;
     }
 
+    /** Until each node that is in has said that it has nothing there any more. */
+    private int untilEmpty(FleetSettings settings, String server, Log quiet) throws InterruptedException {
+        String told = "";
+        while (true) {
+            Council.State state = Question.state(settings.voters().values(), within, quiet);
+            if (state != null) {
+                String left = Emptied.left(state, server);
+                if (left.isEmpty()) {
+                    System.out.println(server + " is empty: each node said so");
+                    return 0;
+                }
+                if (!left.equals(told)) {
+                    System.out.println("not yet: " + left);
+                    told = left;
+                }
+            }
+            Thread.sleep(ASK_AGAIN_MILLIS);
+        }
+    }
+
     /** Prints what is written about it, until it has ended or was halted. */
     private int untilEnded(FleetSettings settings, boolean forward, Log quiet) throws InterruptedException {
         long printed = -1;
@@ -176,6 +202,12 @@
                     return last.contains(" is done") == forward ? 0 : ENDED_OTHERWISE;
                 }
                 printRelease(state);
+        Council.State whole = new Gson().fromJson(state, Council.State.class);
+        whole.rests().forEach(rest -> {
+            String left = Emptied.left(whole, rest.server());
+            System.out.println("server " + rest.server() + " rests, by " + rest.by() + ": " + (left.isEmpty() ? "empty"
+                    : "not yet empty, " + left));
+        });
         if (!state.get("haltedBy").getAsString().isEmpty()) {
                     System.err.println("lupinwood: halted by " + state.get("haltedBy").getAsString()
                             + "; 'fleet resume' goes on, 'fleet back' goes back");
--- a/src/main/java/lupinwood/cli/LabNode.java
+++ b/src/main/java/lupinwood/cli/LabNode.java
@@ -22,8 +22,18 @@
     @Parameter(names = "--without-early-stop", description = "Count leases from when they come")
     private boolean withoutEarlyStop;
 
+    @Parameter(names = "--program", description = "What the program says that it is")
+    private String program;
+
+    @Parameter(names = "--fails-at-start", description = "End with 1 at once")
+    private boolean failsAtStart;
+
     @Override
     public int run() {
+        if (failsAtStart) {
+            return 1;
+        }
+        Spoilt.program(program);
         long begun = System.nanoTime();
         WallClock.readFrom(() -> {
             boolean right = stepAfterMillis > 0 && System.nanoTime() - begun > stepAfterMillis * 1_000_000;
--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -6,7 +6,6 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import lupinwood.Brain;
-import lupinwood.load.Common;
 import lupinwood.load.Loader;
 import lupinwood.load.Reloader;
 import lupinwood.load.TextAtStart;
@@ -66,14 +65,10 @@
         if (config.doubtful() != null) {
             log.line("in doubt, and served all the same: " + config.doubtful());
         }
-        Common common = null;
-        if (!config.meaning().items(Schema.VOTER).isEmpty()) {
-            common = TextAtStart.ask(loader, config, log);
-            try {
-                config = common == null ? config : common.onto(config);
-            } catch (NodeConfig.Unusable e) {
-                log.line("fleet: " + e.getMessage()); // it was laid over once before
-            }
+        boolean inFleet = !config.meaning().items(Schema.VOTER).isEmpty();
+        Object agreed = inFleet ? TextAtStart.ask(loader, config, log) : null; // its class isn't loaded without a fleet
+        if (inFleet) {
+            config = ((TextAtStart) agreed).config();
         }
         boolean heard = Hangup.onEach(this::reload);
         Serving node = new Serving(config, Brain::new, log);
@@ -81,9 +76,8 @@
         node.onLeaveAsked(() -> new Thread(() -> System.exit(0), "asked to leave").start());
         boolean watches = watching == Watching.ON || watching == Watching.AUTO && !heard;
         Reloader reads = new Reloader(loader, loaded, looked, watches, node, log);
-        if (!config.meaning().items(Schema.VOTER).isEmpty()) {
-            Common laid = common;
-            node.onText(() -> new TextHands(loader, reads, node, laid, log));
+        if (inFleet) {
+            node.onText(() -> new TextHands(loader, reads, node, (TextAtStart) agreed, log));
         }
         try {
             node.start();
--- a/src/main/java/lupinwood/council/Council.java
+++ b/src/main/java/lupinwood/council/Council.java
@@ -39,6 +39,7 @@
 import lupinwood.fleet.Permit;
 import lupinwood.fleet.Release;
 import lupinwood.fleet.Reply;
+import lupinwood.fleet.Rest;
 import lupinwood.fleet.Rules;
 import lupinwood.fleet.Seen;
 import lupinwood.fleet.Steward;
@@ -67,19 +68,24 @@
     /** What one voter says of the council. */
     public record State(NodeName self, NodeName leader, int term, List<Seen> seen, List<Book.Held> duties,
             String digest, long deeds, List<Permit> permits, String haltedBy, List<Book.Entry> history, Release release,
-            Map<String, Tally> past) {}
+            List<Rest> rests, Map<String, Tally> past) {}
 
     /**
      * What an operator asks for.
      *
      * @param id names it, so that one asked again after a lost answer is done once
-     * @param what leave, halt, resume, forget, release or back
+     * @param what leave, halt, resume, forget, release, back, rest or unrest
      * @param node whom it is about, where it is about one
      * @param wish what is to be released; else null
+     * @param server which one is to rest, or to be back; else null
      */
-    public record Order(String id, String what, NodeName node, String by, Wish wish) {
+    public record Order(String id, String what, NodeName node, String by, Wish wish, String server) {
         public Order(String id, String what, NodeName node, String by) {
-            this(id, what, node, by, null);
+            this(id, what, node, by, null, null);
+        }
+
+        public Order(String id, String what, NodeName node, String by, Wish wish) {
+            this(id, what, node, by, wish, null);
         }
     }
 
@@ -303,6 +309,13 @@
         }
     }
 
+    /** The servers that rest. */
+    Set<String> resting() {
+        Set<String> names = new HashSet<>();
+        book.rests().forEach(rest -> names.add(rest.server()));
+        return names;
+    }
+
     /** The fleet's text of that digest, and which text a node is to go by; each null where it isn't known here. */
     String text(String digest) {
         return book.text(digest);
@@ -325,11 +338,12 @@
         List<Seen> seen = leads() ? steward.picture(book, means.loop().now()) : List.of();
         return new State(self, leader(), raft.getTerm().getTerm(), seen, new ArrayList<>(book.duties()), book.digest(),
                 book.deeds(), new ArrayList<>(book.permits()), book.haltedBy(), book.history(), book.release(),
+                new ArrayList<>(book.rests()),
                 withPast ? book.past() : null);
     }
 
     /** Carries out an operator's order, once; null to the answer where another leads, or nobody does. */
-    public void order(Order order, OutRules outs, Consumer<Answer> to) {
+    public void order(Order order, OutRules outs, int mostResting, Consumer<Answer> to) {
         if (!leads()) {
             to.accept(null);
             return;
@@ -343,12 +357,17 @@
             case "release" -> book.againstRelease(wish.kind(), wish.to(), wish.text());
             case "back" -> book.release() == null ? "no release is open" : book.release().back()
                     ? book.release() + " is on its way back already" : "";
+            case "rest" -> book.againstRest(order.server(), mostResting);
+            case "unrest" -> book.rests().stream().anyMatch(rest -> rest.server().equals(order.server())) ? ""
+                    : order.server() + " doesn't rest";
             default -> "";
         };
         Deed deed = switch (order.what()) {
             case "leave" -> new Deed.Allow(order.id(), order.node(), order.by(), at, outs, out);
             case "halt", "resume" -> new Deed.Halt(order.id(), order.what().equals("halt"), order.by(), at);
             case "forget" -> new Deed.Forget(order.node());
+            case "rest" -> new Deed.LetRest(order.id(), order.server(), order.by(), mostResting, at);
+            case "unrest" -> new Deed.EndRest(order.id(), order.server(), order.by(), at);
             case "release" -> new Deed.Begin(order.id(), order.by(), wish.kind(), wish.to(), wish.text(), wish.backsOnHalt(), at);
             case "back" -> new Deed.Turn(order.id(), book.release() == null ? 0 : book.release().number(), order.by(), at);
             default -> null;
--- a/src/main/java/lupinwood/council/Fleet.java
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -55,11 +55,13 @@
     /**
      * What this node says of itself.
      *
+     * @param emptied servers that rest, and have nothing of this node
      * @param tally what it answered so far
      * @param hands checks and takes the fleet's text
      * @param leave has the node leave as by the notice; returns at once
      */
-    public record Self(Supplier<Condition> condition, Supplier<List<String>> leftOut, Supplier<Tally> tally,
+    public record Self(Supplier<Condition> condition, Supplier<List<String>> leftOut, Supplier<List<String>> emptied,
+            Supplier<Tally> tally,
             Supplier<Hands> hands, Runnable leave) {}
 
     private final FleetSettings settings;
@@ -86,6 +88,7 @@
     private TextWork texts;
     private Conductor conductor;
     private boolean releaseOpen;
+    private List<String> restsAtStart = List.of();
     private boolean over;
 
     public Fleet(FleetSettings settings, Self self, Log log) {
@@ -110,6 +113,8 @@
             }
         }
         keeper = settings.report() == null ? null : new KeeperWork(settings.report(), log);
+        restsAtStart = self.hands().get().restsAtStart();
+        publish();
         texts = new TextWork(self.hands().get(), loop::execute, this::fetch, log);
         conductor = new Conductor(settings.name(), settings.limits());
         loop.execute(this::talk);
@@ -337,7 +342,12 @@
         if (council == null) {
             to.accept(null);
         } else {
-            council.order(order, settings.outs(), to);
+            String against = order.what().equals("rest") ? settings.against(order.server(), council.resting()) : "";
+            if (!against.isEmpty()) {
+                to.accept(council.isLeading() ? new Council.Answer(false, against) : null);
+                return;
+            }
+            council.order(order, settings.outs(), settings.mostResting(), to);
         }
     }
 
@@ -369,6 +379,7 @@
             text.addProperty("digest", digest);
             text.addProperty("text", council.text(digest));
             text.addProperty("program", council.wantedProgram(name));
+            text.add("rests", GSON.toJsonTree(council.resting()));
         }
         to.say(text);
     }
@@ -392,7 +403,8 @@
         }
         Moment now = loop.now();
         session.leavesOut(self.leftOut().get());
-        session.reports(new Report(PROGRAM, texts.runs(), texts.checked(), self.tally().get()));
+        session.reports(new Report(PROGRAM, texts.runs(), texts.checked(), self.emptied().get(),
+                self.tally().get()));
         Session.Sent sent = session.beat(leaving ? Condition.LEAVING : self.condition().get(), now);
         if (sent != null) {
             say(sent);
@@ -441,7 +453,9 @@
         }
         Moment touch = session.isInTouch(now) ? session.latestWord().plus(settings.rules().lease())
                 : new Moment(Long.MIN_VALUE);
-        view = new FleetView(touch, held, found, latest == null ? null : latest.leader());
+        List<String> rests = latest == null || latest.wanted() == null || latest.wanted().rests() == null ? restsAtStart
+                : latest.wanted().rests();
+        view = new FleetView(touch, held, found, rests, latest == null ? null : latest.leader());
         Set<Grant> holds = new HashSet<>(session.holding().holds(now));
         List<Grant> news = new ArrayList<>(holds);
         news.removeAll(known);
--- a/src/main/java/lupinwood/council/FleetSettings.java
+++ b/src/main/java/lupinwood/council/FleetSettings.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import lupinwood.fleet.NodeName;
 import lupinwood.fleet.OutRules;
 import lupinwood.fleet.Rules;
@@ -22,10 +23,13 @@
  * @param voters where each voter is reached, in the file's order
  * @param listen where this node listens for others; null unless it is a voter
  * @param folder where a voter keeps what it must not forget; null unless it is one
+ * @param servers what servers below carry out, by their names
+ * @param mostResting so many of them may rest at once
  * @param report where the keeper tells the fleet's picture; null for nowhere
  */
 public record FleetSettings(NodeName name, Site site, Map<NodeName, InetSocketAddress> voters, InetSocketAddress listen,
-        Path folder, InetSocketAddress report, Rules rules, OutRules outs, Limits limits) {
+        Path folder, InetSocketAddress report, Rules rules, OutRules outs, Limits limits,
+        Map<String, Set<String>> servers, int mostResting) {
     private static final BigDecimal LEASE = new BigDecimal(3_000_000_000L);
     private static final BigDecimal WATCH = new BigDecimal(60_000_000_000L);
     private static final BigDecimal WATCH_MOST = new BigDecimal(900_000_000_000L);
@@ -51,7 +55,30 @@
                 !votes ? null : listen != null ? address(listen) : voters.get(new NodeName(name)),
                 votes ? Path.of(meaning.values().getOrDefault("fleet folder", "")) : null,
                 meaning.value("fleet report") == null ? null : address(meaning.value("fleet report")), rules, outs(meaning),
-                limits(meaning, lease));
+                limits(meaning, lease), servers(meaning), meaning.number("out below-most", BigDecimal.ONE).intValue());
+    }
+
+    private static Map<String, Set<String>> servers(Meaning meaning) {
+        Map<String, Set<String>> servers = new LinkedHashMap<>();
+        for (String name : meaning.items(Schema.SERVER)) {
+            servers.put(name, Set.of(meaning.values().getOrDefault("server " + name + " tracks", "").split(",")));
+        }
+        return servers;
+    }
+
+    /** Why a server may not rest beside those that do: by this node's file, nobody would carry out some track. */
+    String against(String server, Set<String> resting) {
+        if (!servers.containsKey(server)) {
+            return "the file of " + name + ", which leads, names no server " + server;
+        }
+        for (String track : servers.get(server)) {
+            boolean other = servers.entrySet().stream().anyMatch(one -> !one.getKey().equals(server)
+                    && !resting.contains(one.getKey()) && one.getValue().contains(track));
+            if (!other) {
+                return "nobody else would carry out tickets of " + track;
+            }
+        }
+        return "";
     }
 
     private static Limits limits(Meaning meaning, Span lease) {
@@ -69,11 +96,6 @@
                 meaning.number("out least-in", BigDecimal.valueOf(usual.leastIn())).intValue());
     }
 
-    /** The same, asked for another node. */
-    public FleetSettings named(NodeName other) {
-        return new FleetSettings(other, site, voters, listen, folder, report, rules, outs, limits);
-    }
-
     public boolean votes() {
         return listen != null;
     }
--- a/src/main/java/lupinwood/council/FleetView.java
+++ b/src/main/java/lupinwood/council/FleetView.java
@@ -13,10 +13,12 @@
  * @param touchUntil after it the council's word is stale, and this node does as it would alone
  * @param held what this node holds, each with its end
  * @param found what the holder of the duty trial found, in no order
+ * @param rests servers to which nothing new is to be sent, by the council's last word, however old that is
  * @param leader who leads the council; null where nobody is known to
  */
-public record FleetView(Moment touchUntil, List<Held> held, List<Found> found, NodeName leader) {
-    static final FleetView NONE = new FleetView(new Moment(Long.MIN_VALUE), List.of(), List.of(), null);
+public record FleetView(Moment touchUntil, List<Held> held, List<Found> found, List<String> rests,
+        NodeName leader) {
+    static final FleetView NONE = new FleetView(new Moment(Long.MIN_VALUE), List.of(), List.of(), List.of(), null);
 
     /** @param until when it may be done no more */
     public record Held(DutyName duty, Token token, Moment until) {}
--- a/src/main/java/lupinwood/council/Hands.java
+++ b/src/main/java/lupinwood/council/Hands.java
@@ -1,5 +1,6 @@
 package lupinwood.council;
 
+import java.util.List;
 import java.util.function.Consumer;
 import lupinwood.fleet.Report;
 
@@ -12,6 +13,11 @@
             return "";
         }
 
+        @Override
+        public List<String> restsAtStart() {
+            return List.of();
+        }
+
         @Override
         public void check(String digest, String text, Consumer<Report.Checked> done) {
             done.accept(new Report.Checked(digest, false, false, "this node takes no text"));
@@ -26,6 +32,9 @@
     /** The digest of the text that it was started with; empty for none. */
     String runs();
 
+    /** The servers that rested when this node asked before its start. */
+    List<String> restsAtStart();
+
     /** Says whether it could go by the text, and changes nothing. */
     void check(String digest, String text, Consumer<Report.Checked> done);
 
--- a/src/main/java/lupinwood/council/Question.java
+++ b/src/main/java/lupinwood/council/Question.java
@@ -3,13 +3,16 @@
 import com.google.gson.Gson;
 import com.google.gson.JsonObject;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import lupinwood.fleet.NodeName;
 import lupinwood.log.Log;
 import lupinwood.node.Span;
 
@@ -18,28 +21,41 @@
     private static final Gson GSON = new Gson();
     private static final long AGAIN_MILLIS = 500;
 
-    /** Which text, and which program, a node is to be started with. */
-    public record Wanted(String digest, String text, String program) {}
+    /** Which text, and which program, a node is to be started with, and which servers rest. */
+    public record Wanted(String digest, String text, String program, List<String> rests) {}
 
     private Question() {}
 
+    private static List<String> rests(JsonObject text) {
+        List<String> rests = new ArrayList<>();
+        text.getAsJsonArray("rests").forEach(one -> rests.add(one.getAsString()));
+        return rests;
+    }
+
+    /** What the one who leads knows; null where nobody who does answered in time. */
+    public static Council.State state(Collection<InetSocketAddress> voters, Span within, Log log) throws InterruptedException {
+        return ask(voters, within, log).values().stream().filter(one -> one.get("leads").getAsBoolean())
+                .map(one -> GSON.fromJson(one.get("state"), Council.State.class)).findFirst().orElse(null);
+    }
+
     /** Null where nobody who leads answered in time, or nobody can be reached. */
-    public static Wanted wanted(FleetSettings settings, Span within, Log log) throws InterruptedException {
+    public static Wanted wanted(Collection<InetSocketAddress> voters, NodeName node, Span within, Log log)
+            throws InterruptedException {
         BlockingQueue<Wanted> answers = new ArrayBlockingQueue<>(64);
         Carriage carriage = new Carriage((from, text) -> {
             if (text.get("k").getAsString().equals("wanted") && text.get("leads").getAsBoolean()) {
                 answers.offer(new Wanted(text.get("digest").getAsString(), text.get("text").getAsString(),
-                        text.get("program").getAsString()));
+                        text.get("program").getAsString(), rests(text)));
             }
         }, log);
         try {
             JsonObject text = new JsonObject();
             text.addProperty("k", "wanted?");
-            text.addProperty("name", settings.name().text());
+            text.addProperty("name", node.text());
             long end = System.nanoTime() + within.nanos();
             Wanted wanted = null;
             while (wanted == null && System.nanoTime() < end) {
-                settings.voters().values().forEach(voter -> carriage.say(voter, text));
+                voters.forEach(voter -> carriage.say(voter, text));
                 wanted = answers.poll(Math.min(AGAIN_MILLIS, within.nanos() / 3_000_000), TimeUnit.MILLISECONDS);
             }
             return wanted;
--- a/src/main/java/lupinwood/council/TextWork.java
+++ b/src/main/java/lupinwood/council/TextWork.java
@@ -48,14 +48,10 @@
             notTaken = null;
         }
         if (takes) {
-            with(wanted.runs(), text -> hands.take(wanted.runs(), text, why -> loop.accept(() -> taken(wanted.runs(), why))));
+            with(wanted.runs(), text -> hands.take(wanted.runs(), text,
+                    why -> loop.accept(() -> taken(wanted.runs(), text, why))));
         } else if (checks) {
-            with(wanted.checks(), text -> hands.check(wanted.checks(), text, told -> loop.accept(() -> {
-                busy = false;
-                checked = told;
-                log.line("fleet: the text " + told.digest() + (told.fits() ? told.restarts() ? " fits, and needs a restart"
-                        : " fits" : " does not fit: " + told.why()));
-            })));
+            with(wanted.checks(), text -> check(wanted.checks(), text));
         }
     }
 
@@ -69,13 +65,24 @@
         }
     }
 
-    private void taken(String digest, String why) {
+    private void check(String digest, String text) {
+        hands.check(digest, text, told -> loop.accept(() -> {
+            busy = false;
+            checked = told;
+            log.line("fleet: the text " + told.digest() + (told.fits() ? told.restarts() ? " fits, and needs a restart"
+                    : " fits" : " does not fit: " + told.why()));
+        }));
+    }
+
+    private void taken(String digest, String text, String why) {
         busy = false;
         if (why.isEmpty()) {
             runs = digest;
             notTaken = null;
         } else {
             notTaken = digest;
+            busy = true;
+            check(digest, text); // so that the fleet hears whether a restart would do
         }
         log.line("fleet: " + (why.isEmpty() ? "goes by " : "does not go by ") + (digest.isEmpty() ? "its own files alone"
                 : "the text " + digest) + (why.isEmpty() ? "" : ": " + why));
--- a/src/main/java/lupinwood/fleet/Book.java
+++ b/src/main/java/lupinwood/fleet/Book.java
@@ -45,7 +45,8 @@
 
     /** The whole book, as it is kept and sent. */
     public record Page(List<Member> members, List<Held> duties, long lastToken, String digest, long deeds,
-            List<Permit> permits, long lastPermit, String haltedBy, List<Done> done, List<Entry> history, Releases.Page releases) {}
+            List<Permit> permits, long lastPermit, String haltedBy, List<Done> done, List<Entry> history, Releases.Page releases,
+            List<Rest> rests) {}
 
     private static final int MOST_DUTIES = 64;
     private static final int MOST_PERMITS = 1024;
@@ -57,6 +58,7 @@
     private final TreeMap<DutyName, Held> duties = new TreeMap<>();
     private final TreeMap<Long, Permit> permits = new TreeMap<>();
     private final Releases releases = new Releases();
+    private final TreeMap<String, Rest> rests = new TreeMap<>();
     private final ArrayDeque<Done> done = new ArrayDeque<>();
     private final ArrayDeque<Entry> history = new ArrayDeque<>();
     private long lastPermit;
@@ -88,12 +90,16 @@
         history.clear();
         history.addAll(page.history());
         releases.open(page.releases());
+        rests.clear();
+        if (page.rests() != null) { // null in the page of an older version
+            page.rests().forEach(rest -> rests.put(rest.server(), rest));
+        }
     }
 
     public Page page() {
         return new Page(new ArrayList<>(members.values()), new ArrayList<>(duties.values()), lastToken, digest, deeds,
                 new ArrayList<>(permits.values()), lastPermit, haltedBy, new ArrayList<>(done), new ArrayList<>(history),
-                releases.page());
+                releases.page(), new ArrayList<>(rests.values()));
     }
 
     /** Whether the deed fitted and was done; one that no longer fits changes nothing. */
@@ -157,6 +163,29 @@
         if (deed instanceof Deed.Begin begin) {
             return begin(begin);
         }
+        if (deed instanceof Deed.LetRest let) {
+            if (answer(let.order()) != null) {
+                return true;
+            }
+            boolean fits = againstRest(let.server(), let.most()).isEmpty();
+            if (fits) {
+                rests.put(let.server(), new Rest(let.server(), let.by()));
+                did(let.order(), let.server() + " rests");
+                write(let.atMillis(), let.by() + " let " + let.server() + " rest");
+            }
+            return fits;
+        }
+        if (deed instanceof Deed.EndRest end) {
+            if (answer(end.order()) != null) {
+                return true;
+            }
+            boolean fits = rests.remove(end.server()) != null;
+            if (fits) {
+                did(end.order(), end.server() + " is back");
+                write(end.atMillis(), end.by() + " took " + end.server() + " back");
+            }
+            return fits;
+        }
         if (deed instanceof Deed.Step step) {
             return step(step);
         }
@@ -189,7 +218,7 @@
         if (answer(begin.order()) != null) {
             return true; // it was done before
         }
-        if (!haltedBy.isEmpty() || !releases.begin(begin)) {
+        if (!haltedBy.isEmpty() || !rests.isEmpty() || !releases.begin(begin)) {
             return false;
         }
         did(begin.order(), releases.release() + " of " + begin.to());
@@ -224,7 +253,21 @@
 
     /** Why a release may not begin now; empty where it may. */
     public String againstRelease(Release.Kind kind, String to, String text) {
-        return !haltedBy.isEmpty() ? haltedBy + " halted" : releases.against(kind, to, text);
+        return !haltedBy.isEmpty() ? haltedBy + " halted" : !rests.isEmpty() ? rests.firstKey()
+                + " rests; it has to be back first" : releases.against(kind, to, text);
+    }
+
+    /** Why a server may not rest now; empty where it may. */
+    public String againstRest(String server, int most) {
+        Release release = releases.release();
+        return !haltedBy.isEmpty() ? haltedBy + " halted" : release != null ? release + " by " + release.by()
+                + " is open; it has to end first" : rests.containsKey(server) ? server + " rests already"
+                : rests.size() >= most ? rests.keySet() + " rest, and no more than " + most + " may" : "";
+    }
+
+    /** The servers that rest. */
+    public Collection<Rest> rests() {
+        return Collections.unmodifiableCollection(rests.values());
     }
 
     /** The release that is open; null while none is. */
@@ -239,7 +282,8 @@
 
     /** What a node is to run. */
     public Reply.Wanted wanted(NodeName node) {
-        return new Reply.Wanted(releases.wanted(node), releases.toCheck(), releases.release() != null);
+        return new Reply.Wanted(releases.wanted(node), releases.toCheck(), releases.release() != null,
+                List.copyOf(rests.keySet()));
     }
 
     /** The program that a node is to be started with; empty for whatever there is. */
--- a/src/main/java/lupinwood/fleet/Deed.java
+++ b/src/main/java/lupinwood/fleet/Deed.java
@@ -71,6 +71,16 @@
     /** A release has ended; counts under the conductor's token. */
     record Finish(Token token, long release, boolean done, String why, long atMillis) implements Deed {}
 
+    /**
+     * A server below rests. Fits only while nothing is halted, no release is open and fewer rest than may.
+     *
+     * @param most so many may rest at once
+     */
+    record LetRest(String order, String server, String by, int most, long atMillis) implements Deed {}
+
+    /** It rests no more. */
+    record EndRest(String order, String server, String by, long atMillis) implements Deed {}
+
     /** Why a duty was taken from its holder. */
     enum Why { LAPSED, HANDED_ON, FAILED, WENT }
 }
--- a/src/main/java/lupinwood/fleet/Report.java
+++ b/src/main/java/lupinwood/fleet/Report.java
@@ -1,14 +1,17 @@
 package lupinwood.fleet;
 
+import java.util.List;
+
 /**
  * What a node runs and how that does; a part of its beat. A node of an older version has none.
  *
  * @param program the version of the program
  * @param runs the digest of the fleet's text that it goes by; empty for none
  * @param checked what its own plan says of the text that it was asked about last; null before
+ * @param emptied servers that rest, to which it sends nothing new and at which it has nothing any more
  * @param tally what it answered in this life
  */
-public record Report(String program, String runs, Checked checked, Tally tally) {
+public record Report(String program, String runs, Checked checked, List<String> emptied, Tally tally) {
     private static final int MOST_CHARS = 200;
 
     /**
@@ -23,6 +26,8 @@
     Report cut() {
         Checked shorter = checked == null || checked.why() == null || checked.why().length() <= MOST_CHARS ? checked
                 : new Checked(checked.digest(), checked.fits(), checked.restarts(), checked.why().substring(0, MOST_CHARS));
-        return new Report(program, runs, shorter, tally == null ? Tally.NOTHING : tally.cut());
+        List<String> few = emptied == null ? List.of() : emptied.size() <= Beat.MOST ? emptied
+                : List.copyOf(emptied.subList(0, Beat.MOST));
+        return new Report(program, runs, shorter, few, tally == null ? Tally.NOTHING : tally.cut());
     }
 }
--- a/src/main/java/lupinwood/load/TextAtStart.java
+++ b/src/main/java/lupinwood/load/TextAtStart.java
@@ -1,5 +1,6 @@
 package lupinwood.load;
 
+import java.util.List;
 import lupinwood.council.FleetSettings;
 import lupinwood.council.Question;
 import lupinwood.log.Log;
@@ -7,33 +8,39 @@
 import lupinwood.node.Span;
 
 /**
- * Asks the council before the door opens which text this node is to go by, so that one that was away comes back with what
- * was agreed meanwhile. Where nobody answers in time it starts with its files alone, as without a fleet.
+ * What was agreed while this node was away, asked of the council before the door opens: the text that it is to go by, and
+ * the servers to which it is to send nothing. Where nobody answers in time it starts with its files alone, as without a fleet.
+ *
+ * @param config what it goes by: its files, with the text over them
+ * @param digest of the text; empty for none
  */
-public final class TextAtStart {
+public record TextAtStart(NodeConfig config, String digest, List<String> rests) {
     private static final Span MOST = Span.ofSeconds(1.5);
 
-    private TextAtStart() {}
-
-    /** What is to be laid over the files; null for nothing. The loader lays it over from then on. */
-    public static Common ask(Loader loader, NodeConfig own, Log log) {
+    /** The loader lays the text over the files from then on. */
+    public static TextAtStart ask(Loader loader, NodeConfig own, Log log) {
         FleetSettings settings = FleetSettings.of(own.meaning());
+        TextAtStart alone = new TextAtStart(own, "", List.of());
+        Question.Wanted wanted = null;
         try {
-            Question.Wanted wanted = Question.wanted(settings, settings.rules().lease().times(0.5).min(MOST), log);
-            if (wanted == null || wanted.digest().isEmpty()) {
-                return null;
+            wanted = Question.wanted(settings.voters().values(), settings.name(),
+                    settings.rules().lease().times(0.5).min(MOST), log);
+            if (wanted == null) {
+                return alone;
             }
             Common common = Common.read(wanted.text());
-            common.onto(own);
-            loader.lay(common);
-            log.line("fleet: starts with the text " + common.digest());
-            return common;
+            NodeConfig config = common.onto(own);
+            if (!common.digest().isEmpty()) {
+                loader.lay(common);
+                log.line("fleet: starts with the text " + common.digest());
+            }
+            return new TextAtStart(config, common.digest(), wanted.rests());
         } catch (NodeConfig.Unusable e) {
             log.line("fleet: starts without the text agreed on: " + e.getMessage());
-            return null;
+            return new TextAtStart(own, "", wanted.rests());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return null;
+            return alone;
         }
     }
 }
--- a/src/main/java/lupinwood/load/TextHands.java
+++ b/src/main/java/lupinwood/load/TextHands.java
@@ -1,5 +1,6 @@
 package lupinwood.load;
 
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import lupinwood.council.Hands;
@@ -18,11 +19,11 @@
     private final Loader loader;
     private final Reloader reloader;
     private final Serving serving;
-    private final Common atStart;
+    private final TextAtStart atStart;
     private final Log log;
 
-    /** @param atStart what the node was started with; null for none */
-    public TextHands(Loader loader, Reloader reloader, Serving serving, Common atStart, Log log) {
+    /** @param atStart what was agreed before the node started */
+    public TextHands(Loader loader, Reloader reloader, Serving serving, TextAtStart atStart, Log log) {
         this.loader = loader;
         this.reloader = reloader;
         this.serving = serving;
@@ -32,7 +33,12 @@
 
     @Override
     public String runs() {
-        return atStart == null ? "" : atStart.digest();
+        return atStart.digest();
+    }
+
+    @Override
+    public List<String> restsAtStart() {
+        return atStart.rests();
     }
 
     @Override
--- a/src/main/java/lupinwood/net/AjpServers.java
+++ b/src/main/java/lupinwood/net/AjpServers.java
@@ -101,6 +101,13 @@
         host = served;
     }
 
+    /** These rest and no others; what waits may have a place elsewhere now. */
+    void rest(List<String> names) {
+        pool.rest(names);
+        sendWaiting();
+        watchForBack();
+    }
+
     void markTrials(Supplier<Map<String, String>> by) {
         mark = by;
     }
--- a/src/main/java/lupinwood/net/FleetPart.java
+++ b/src/main/java/lupinwood/net/FleetPart.java
@@ -36,6 +36,8 @@
     private Host host;
     private volatile Condition condition = Condition.COLD;
     private volatile List<String> leftOut = List.of();
+    private volatile List<String> emptied = List.of();
+    private List<String> rests = List.of();
     private final Counts counts = new Counts();
     private volatile Tally tally = Tally.NOTHING;
     private List<FleetView.Found> heard = List.of();
@@ -51,7 +53,7 @@
         this.deadlines = deadlines;
         this.servers = servers;
         warmAfter = new Span(meaning.number("rules warm-after", BigDecimal.ZERO).longValue());
-        fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut, () -> tally, hands, leave),
+        fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut, () -> emptied, () -> tally, hands, leave),
                 log);
     }
 
@@ -80,6 +82,11 @@
         if (servers != null) {
             Pool pool = servers.pool();
             leftOut = pool.leftOut();
+            if (!fleet.view().rests().equals(rests)) {
+                rests = fleet.view().rests();
+                servers.rest(rests);
+            }
+            emptied = pool.emptied();
             List<FleetView.Found> found = fleet.view().found();
             if (found != heard) {
                 heard = found;
--- a/src/main/java/lupinwood/pools/Pool.java
+++ b/src/main/java/lupinwood/pools/Pool.java
@@ -1,6 +1,7 @@
 package lupinwood.pools;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Random;
 import java.util.function.IntPredicate;
@@ -56,6 +57,8 @@
         boolean vouched;
         /** It came back, and has yet to do well. */
         boolean onTrial;
+        /** Nothing new is sent there, by agreement with others and not for what is seen of it. */
+        boolean rests;
 
         Book(String name) {
             this.name = name;
@@ -106,6 +109,27 @@
         }
     }
 
+    /**
+     * These rest and no others: nothing new is sent there. One that rests no more is eased in: it begins with one ticket
+     * at a time, and is at work once that did well.
+     */
+    public void rest(Collection<String> names) {
+        for (Book book : books) {
+            boolean rests = names.contains(book.name);
+            if (book.rests && !rests) {
+                book.onTrial = true;
+                book.backAt = null;
+                book.limit = 1;
+            }
+            book.rests = rests;
+        }
+    }
+
+    /** Those that rest and have nothing of this node any more. */
+    public List<String> emptied() {
+        return books.stream().filter(book -> book.rests && book.out == 0).map(book -> book.name).toList();
+    }
+
     /** The servers that are left out now. */
     public List<String> leftOut() {
         return books.stream().filter(book -> book.backAt != null).map(book -> book.name).toList();
@@ -175,7 +199,7 @@
             int server = (turn + i) % books.size();
             Book book = books.get(server);
             boolean back = book.backAt == null || mayComeBack(book, now);
-            if (!back || book.out >= limit(server) || tried.contains(server)
+            if (book.rests || !back || book.out >= limit(server) || tried.contains(server)
                     || !may.test(server)) {
                 continue;
             }
@@ -276,7 +300,7 @@
 
     /** When a server that is left out may be tried again, the soonest; never where none is. */
     public Moment nextBack(Moment now) {
-        return books.stream().filter(book -> book.backAt != null)
+        return books.stream().filter(book -> book.backAt != null && !book.rests)
                 .map(book -> now.isBefore(book.backAt) || mayComeBack(book, now) ? book.backAt : now.plus(ASK_AGAIN))
                 .min(Moment::compareTo).orElse(Moment.NEVER);
     }
--- a/src/main/java/lupinwood/release/Conductor.java
+++ b/src/main/java/lupinwood/release/Conductor.java
@@ -231,7 +231,7 @@
                 missing.remove(node);
                 continue;
             }
-            if (isThere(seen) && !runs(seen, release.kind(), release.to()) && needsRestart(seen, release)) {
+            if (isThere(seen) && !runs(seen, release.kind(), release.to()) && needsRestart(seen, release, release.to())) {
                 if (!picture.hasPermit(node)) {
                     acts.add(new Act.Let("r" + release.number() + "." + node, node));
                     missing.remove(node); // it waits for its permit, which is nobody's fault
@@ -317,10 +317,11 @@
         return report != null && what.equals(kind == Release.Kind.PROGRAM ? report.program() : report.runs());
     }
 
-    private static boolean needsRestart(Seen seen, Release release) {
+    /** Whether a node that is there says that it would run the one or the other after a restart only. */
+    private static boolean needsRestart(Seen seen, Release release, String what) {
         Report.Checked checked = seen.report() == null ? null : seen.report().checked();
         return release.kind() == Release.Kind.PROGRAM
-                || checked != null && checked.digest().equals(release.to()) && checked.restarts();
+                || checked != null && checked.digest().equals(what) && checked.restarts();
     }
 
     // ---- halts, and back ----
@@ -350,7 +351,7 @@
                 continue;
             }
             waits.add(node);
-            if (isThere(seen) && !old && needsRestart(seen, release) && !picture.hasPermit(node)) {
+            if (isThere(seen) && !old && needsRestart(seen, release, release.from()) && !picture.hasPermit(node)) {
                 acts.add(new Act.Let("b" + release.number() + "." + node, node));
                 missing.remove(node); // it waits for its permit
                 continue;
--- a/src/main/java/lupinwood/settings/Schema.java
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -250,6 +250,8 @@
                 .change(RESTART, BOUNDS).says("How much of one zone may be out at once.");
         at("out least-in", "operator.out.least_in", COUNT).from("0", "1000000").otherwise("1").change(RESTART, BOUNDS)
                 .says("How many nodes of the fleet have to stay in.");
+        at("out below-most", "operator.out.below_most", COUNT).from("1", "1000000").otherwise("1").change(RESTART, BOUNDS)
+                .says("How many servers below may rest at once.");
         at("release watch", "operator.release.watch_ns", SPAN).from("1000000000", DAY).otherwise("1m").change(RESTART, LED)
                 .says("How long each wave of a release is watched at the least.");
         at("release watch-most", "operator.release.watch_most_ns", SPAN).from("1000000000", DAY).otherwise("15m")
