--- a/src/main/java/lupinwood/cli/FleetWork.java
+++ b/src/main/java/lupinwood/cli/FleetWork.java
@@ -182,6 +182,7 @@
     /** Prints what is written about it, until it has ended or was halted. */
     private int untilEnded(FleetSettings settings, boolean forward, Log quiet) throws InterruptedException {
         long printed = -1;
+        String shown = "";
         while (true) {
             JsonObject leads = Question.ask(settings.voters().values(), within, quiet).values().stream()
                     .filter(one -> one.get("leads").getAsBoolean()).findFirst().orElse(null);
@@ -197,18 +198,15 @@
                     }
                 }
                 printed = all.isEmpty() ? 0 : all.get(all.size() - 1).getAsJsonObject().get("atMillis").getAsLong();
-                boolean open = state.has("release") && state.get("release").isJsonObject();
-                if (!open) {
+                if (!isOpen(state)) {
                     return last.contains(" is done") == forward ? 0 : ENDED_OTHERWISE;
                 }
-                printRelease(state);
-        Council.State whole = new Gson().fromJson(state, Council.State.class);
-        whole.rests().forEach(rest -> {
-            String left = Emptied.left(whole, rest.server());
-            System.out.println("server " + rest.server() + " rests, by " + rest.by() + ": " + (left.isEmpty() ? "empty"
-                    : "not yet empty, " + left));
-        });
-        if (!state.get("haltedBy").getAsString().isEmpty()) {
+                String progress = said(state);
+                if (!progress.equals(shown)) {
+                    System.out.println(progress);
+                    shown = progress;
+                }
+                if (!state.get("haltedBy").getAsString().isEmpty()) {
                     System.err.println("lupinwood: halted by " + state.get("haltedBy").getAsString()
                             + "; 'fleet resume' goes on, 'fleet back' goes back");
                     return HALTED;
@@ -271,6 +269,15 @@
             System.out.println("permit " + permit.get("number").getAsLong() + ": " + text(permit, "node") + ", let go by "
                     + permit.get("by").getAsString());
         }
+        if (isOpen(state)) {
+            System.out.println(said(state));
+        }
+        Council.State whole = new Gson().fromJson(state, Council.State.class);
+        whole.rests().forEach(rest -> {
+            String left = Emptied.left(whole, rest.server());
+            System.out.println("server " + rest.server() + " rests, by " + rest.by() + ": " + (left.isEmpty() ? "empty"
+                    : "not yet empty, " + left));
+        });
         if (!state.get("haltedBy").getAsString().isEmpty()) {
             System.out.println("halted by " + state.get("haltedBy").getAsString() + ": no node may go");
         }
@@ -281,10 +288,12 @@
         }
     }
 
-    private static void printRelease(JsonObject state) {
-        if (!state.has("release") || !state.get("release").isJsonObject()) {
-            return;
-        }
+    private static boolean isOpen(JsonObject state) {
+        return state.has("release") && state.get("release").isJsonObject();
+    }
+
+    /** How far the open release is, in one line. */
+    private static String said(JsonObject state) {
         JsonObject release = state.getAsJsonObject("release");
         String to = release.get("to").getAsString();
         boolean program = release.get("kind").getAsString().equals("PROGRAM");
@@ -294,10 +303,10 @@
             runs += report != null && report.get(program ? "program" : "runs").getAsString().equals(to) ? 1 : 0;
         }
         boolean back = release.get("turnedAt").getAsInt() >= 0;
-        System.out.println("release " + release.get("number").getAsLong() + " of " + (program ? "program " : "text ") + to
+        return "release " + release.get("number").getAsLong() + " of " + (program ? "program " : "text ") + to
                 + " by " + release.get("by").getAsString() + (back ? ", on its way back" : "") + ": step "
                 + release.get("steps").getAsInt() + ", given to " + release.getAsJsonArray("given").size() + ", run by " + runs
-                + " of " + state.getAsJsonArray("seen").size() + " nodes");
+                + " of " + state.getAsJsonArray("seen").size() + " nodes";
     }
 
     private static String text(JsonObject of, String name) {
--- a/src/main/java/lupinwood/lab/ReleasePlay.java
+++ b/src/main/java/lupinwood/lab/ReleasePlay.java
@@ -201,6 +201,42 @@
     private double faultUntil;
     private double firstWave = -1;
     private boolean killed;
+    private double begun = -1;
+    private double diesAt = Double.MAX_VALUE;
+    private double dyingShare;
+    private double served;
+    private double offered;
+
+    /** Part of the nodes die so long after the beginning, and are back half a minute later. */
+    ReleasePlay dying(double after, double share) {
+        diesAt = after;
+        dyingShare = share;
+        return this;
+    }
+
+    /** Of what was offered since the beginning, at so much of what all nodes can do, what was done in time; as a share. */
+    double servedShare() {
+        return served / offered;
+    }
+
+    /** Plays on, so that as much time is compared as elsewhere. */
+    void playUntil(double seconds) {
+        for (; time - begun < seconds; time++) {
+            second();
+        }
+    }
+
+    private void account() {
+        double capacity = nodes.stream().filter(node -> node.up).mapToDouble(node -> node.condition() == Condition.WARM ? 1
+                : ReleaseWays.COLD_SPEED).sum();
+        offered += nodes.size() * ReleaseWays.LOAD;
+        served += Math.min(nodes.size() * ReleaseWays.LOAD, capacity);
+        if (time - begun >= diesAt) {
+            diesAt = Double.MAX_VALUE;
+            nodes.stream().filter(node -> node.up && random.nextDouble() < dyingShare).forEach(node -> node.goes(
+                    ReleaseWays.DEAD_SECONDS));
+        }
+    }
 
     ReleasePlay(Kind kind, int count, int zones, long seed, Consumer<String> trace) {
         this.kind = kind;
@@ -233,7 +269,7 @@
             second();
         }
         book.apply(new Deed.Begin("o1", "ann", Release.Kind.CONFIGURATION, NEW, "text", true, 0));
-        double begun = time;
+        begun = time;
         double caught = -1;
         double had = 0;
         String why = "";
@@ -304,6 +340,9 @@
         steward.decide(book, 1, now()).forEach(book::apply);
         conduct();
         audit();
+        if (begun >= 0) {
+            account();
+        }
     }
 
     private void faults() {
--- a/src/main/java/lupinwood/lab/StandInServer.java
+++ b/src/main/java/lupinwood/lab/StandInServer.java
@@ -28,6 +28,11 @@
         this.faults = faults;
     }
 
+    /** How many tickets came so far. */
+    long tries() {
+        return tries.get();
+    }
+
     private synchronized int chance(int bound) {
         return random.nextInt(bound);
     }
--- a/src/main/java/lupinwood/release/History.java
+++ b/src/main/java/lupinwood/release/History.java
@@ -31,6 +31,9 @@
     /** Since when it has been well; null while it isn't. */
     private Moment wellSince;
     private Moment lastWell;
+    /** What it runs, and since when it has been seen to. */
+    private String version = "";
+    private Moment versionSince;
 
     /** @param every how far apart kept points are at the least */
     void heard(Seen seen, Moment now, Span every) {
@@ -48,6 +51,11 @@
             return;
         }
         ofLife = seen.report().tally();
+        String runs = seen.report().runs() + " " + seen.report().program();
+        if (!runs.equals(version)) {
+            version = runs;
+            versionSince = now;
+        }
         if (points.isEmpty() || now.since(points.peekLast().at()).compareTo(every) >= 0) {
             points.addLast(new Point(now, before.plus(ofLife)));
             if (points.size() > POINTS_A_WATCH + 2) {
@@ -85,8 +93,10 @@
         return livesMarked == 0 ? 0 : lives - livesMarked;
     }
 
+    /** With what it runs now. */
     boolean isWellFor(Span span, Moment now) {
-        return wellSince != null && now.since(wellSince).compareTo(span) >= 0;
+        return wellSince != null && versionSince != null && now.since(wellSince).compareTo(span) >= 0
+                && now.since(versionSince).compareTo(span) >= 0;
     }
 
     /** Whether it was ever well, and isn't for so long. */
--- a/src/test/java/lupinwood/lab/LabTest.java
+++ b/src/test/java/lupinwood/lab/LabTest.java
@@ -118,6 +118,21 @@
         assertThat(careful.broken()).hasSize(2);
     }
 
+    @Test
+    void badReleasesAreCaughtAndGoodOnesGoThroughInMadeUpTime() throws Exception {
+        Experiment.Outcome outcome =
+                Experiments.named("releases-time", 3, 48, 0, new PrintStream(printed, true), log).run();
+        assertThat(outcome.broken()).isEmpty();
+    }
+
+    @Test
+    void aReleaseGoesThroughRealProcessesAndABadOneComesBack() throws Exception {
+        Experiment.Outcome outcome =
+                Experiments.named("release", 6, 6, 120, new PrintStream(printed, true), log).run();
+        assertThat(outcome.broken()).isEmpty();
+        assertThat(outcome.line()).contains("GOOD_TEXT done=1", "REFUSED_TEXT back=1");
+    }
+
     @Test
     void noMoreNodesGoAtOnceThanTheFilesSay() throws Exception {
         Experiment.Outcome outcome =
--- a/src/test/java/lupinwood/pools/PoolTest.java
+++ b/src/test/java/lupinwood/pools/PoolTest.java
@@ -33,6 +33,21 @@
         return got;
     }
 
+    @Test
+    void oneThatRestsGetsNothingNewIsEmptyOnceItsOwnHasEndedAndIsEasedIn() {
+        serve(60, Pool.End.WELL, FAST);
+        int under = pool.send(now, List.of());
+        pool.rest(List.of(pool.name(under)));
+        assertThat(pool.emptied()).as("a run is out there").isEmpty();
+        pool.ended(under, Pool.End.WELL, FAST, false, now);
+        assertThat(pool.emptied()).containsExactly(pool.name(under));
+        assertThat(serve(300, Pool.End.WELL, FAST)[under]).isZero();
+        pool.rest(List.of());
+        assertThat(pool.emptied()).isEmpty();
+        assertThat(pool.limit(under)).as("one at a time, until it does well").isEqualTo(1);
+        assertThat(serve(300, Pool.End.WELL, FAST)[under]).isGreaterThan(60);
+    }
+
     @Test
     void equalServersShareTheWork() {
         int[] got = serve(300, Pool.End.WELL, FAST);
--- /dev/null
+++ b/src/test/java/lupinwood/release/ConductorTest.java
@@ -0,0 +1,165 @@
+package lupinwood.release;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import lupinwood.fleet.Book;
+import lupinwood.fleet.Deed;
+import lupinwood.fleet.DutyName;
+import lupinwood.fleet.Life;
+import lupinwood.fleet.NodeName;
+import lupinwood.fleet.Release;
+import lupinwood.fleet.Report;
+import lupinwood.fleet.Seen;
+import lupinwood.fleet.Site;
+import lupinwood.fleet.Standing;
+import lupinwood.fleet.Tally;
+import lupinwood.fleet.Token;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+import org.junit.jupiter.api.Test;
+
+/** A release of nine nodes in three zones, by the real book. */
+final class ConductorTest {
+    private static final Limits LIMITS = Limits.of(Span.ofSeconds(20), Span.ofSeconds(100), 0.05, Span.ofSeconds(3));
+    private final Book book = new Book(100);
+    private final String[] runs = {"", "", "", "", "", "", "", "", ""};
+    private final boolean[] there = {true, true, true, true, true, true, true, true, true};
+    private final boolean[] refuses = new boolean[9];
+    private final boolean[] bad = new boolean[9];
+    private final long[][] counts = new long[9][2];
+    private Conductor conductor = new Conductor(name(0), LIMITS);
+    private Token token;
+    private double now;
+
+    private static NodeName name(int i) {
+        return new NodeName("n" + i);
+    }
+
+    private void begin(boolean backsOnHalt) {
+        book.apply(new Deed.Found(10));
+        for (int i = 0; i < 9; i++) {
+            book.apply(new Deed.Join(name(i), new Life(i), new Site("r", "z" + i % 3)));
+        }
+        book.apply(new Deed.Give(DutyName.CONDUCTOR, name(0), new Life(0), new Token(0)));
+        token = book.duty(DutyName.CONDUCTOR).token();
+        assertThat(book.apply(new Deed.Begin("o", "ann", Release.Kind.CONFIGURATION, "new", "text", backsOnHalt, 1))).isTrue();
+    }
+
+    private Picture picture() {
+        List<Seen> seen = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            Report.Checked checked = new Report.Checked("new", !refuses[i], false, refuses[i] ? "no such track" : "");
+            Tally tally = new Tally(List.of(new Tally.Count("look", counts[i][0], 0, 0, counts[i][1], counts[i][0] * 0.05)));
+            seen.add(new Seen(name(i), new Life(i), new Site("r", "z" + i % 3), there[i] ? Standing.WARM : Standing.UNKNOWN,
+                    Span.ZERO, new Report("1", runs[i], checked, List.of(), tally)));
+        }
+        return new Picture(book.release(), book.haltedBy(), seen, book.permits(), 3, book.past());
+    }
+
+    /** Seconds go by, and nodes do as they are told. */
+    private void play(int seconds) {
+        for (int i = 0; i < seconds; i++) {
+            now++;
+            for (int node = 0; node < 9; node++) {
+                if (there[node]) {
+                    counts[node][bad[node] && runs[node].equals("new") ? 1 : 0] += 50;
+                    runs[node] = book.wanted(name(node)).runs();
+                }
+            }
+            conductor.decide(picture(), token, new Moment(Math.round(now * 1e9))).forEach(
+                    act -> book.apply(((Act.Write) act).deed()));
+        }
+    }
+
+    @Test
+    void oneOfEachZoneThenMoreThenAll() {
+        begin(false);
+        play(19);
+        assertThat(book.release().steps()).as("it looks at the fleet before").isZero();
+        play(3);
+        assertThat(book.release().given()).extracting(NodeName::text).containsExactlyInAnyOrder("n1", "n2", "n3");
+        play(15);
+        assertThat(book.release().steps()).as("a watch is 20 s").isEqualTo(1);
+        play(15);
+        assertThat(book.release().given()).hasSize(7);
+        play(60);
+        assertThat(book.release()).isNull();
+        assertThat(book.wanted(name(5)).runs()).isEqualTo("new");
+    }
+
+    @Test
+    void aNodeThatWouldRefuseItStopsItBeforeItStarts() {
+        begin(false);
+        refuses[4] = true;
+        play(5);
+        assertThat(book.release()).isNull();
+        assertThat(book.wanted(name(1)).runs()).isEmpty();
+        assertThat(book.history().get(book.history().size() - 1).text()).contains("n4 would not take it: no such track");
+    }
+
+    @Test
+    void whoDoesWorseHaltsItAndNothingGoesOnUntilAnOperatorSaysSo() {
+        begin(false);
+        bad[1] = bad[2] = bad[3] = true;
+        play(40);
+        assertThat(book.haltedBy()).contains("release 1, its watch: worse");
+        List<NodeName> given = book.release().given();
+        play(200);
+        assertThat(book.release().given()).isEqualTo(given);
+        book.apply(new Deed.Turn("t", 1, "ann", 2));
+        play(40);
+        assertThat(book.release()).isNull();
+        assertThat(runs).containsOnly("");
+    }
+
+    @Test
+    void itTurnsBackByItselfOnlyWhereItSaidSoOneNodeAZoneFirst() {
+        begin(true);
+        play(60); // seven have it
+        assertThat(book.release().steps()).isEqualTo(2);
+        Arrays.fill(bad, true);
+        for (int i = 0; i < 60 && !book.release().back(); i++) {
+            play(1);
+        }
+        int had = book.release().given().size();
+        play(2);
+        assertThat(book.release().given()).hasSize(had - 3);
+        play(40);
+        assertThat(book.release()).isNull();
+        assertThat(runs).containsOnly("");
+    }
+
+    @Test
+    void aSuccessorGoesOnFromTheBookWithWhatWasKeptOfThePast() {
+        begin(false);
+        play(25);
+        book.apply(new Deed.Free(DutyName.CONDUCTOR, token, Deed.Why.LAPSED));
+        Token old = token;
+        book.apply(new Deed.Give(DutyName.CONDUCTOR, name(1), new Life(1), token));
+        token = book.duty(DutyName.CONDUCTOR).token();
+        assertThat(book.apply(new Deed.Step(old, 1, 2, false, List.of(name(8)), "", null, 1))).as("the old one's word").isFalse();
+        conductor = new Conductor(name(1), LIMITS);
+        play(1);
+        assertThat(conductor.wantsPast()).as("it was told").isFalse();
+        assertThat(book.past()).hasSize(9);
+        play(100);
+        assertThat(book.release()).isNull();
+        assertThat(runs).containsOnly("new");
+    }
+
+    @Test
+    void aWayBackThatFailsHaltsAndSaysSo() {
+        begin(false);
+        play(40);
+        book.apply(new Deed.Turn("t", 1, "ann", 2));
+        play(2);
+        for (int i = 0; i < 9; i++) {
+            there[i] = book.release().isGiven(name(i)) || i > 3;
+        }
+        play(40);
+        assertThat(book.haltedBy()).contains("its way back: ").contains("is not well with what it ran before");
+    }
+}
