Keep a majority of voters in, and let nodes that came back half take what was agreed

Change: no permit takes the voters' majority away; an order to go names the life; a node asks for up to a lease before it starts; the conductor lets nodes that lag behind the agreed text go by permits also while no release is open.

--- a/src/main/java/lupinwood/council/Council.java
+++ b/src/main/java/lupinwood/council/Council.java
@@ -68,7 +68,7 @@
     /** What one voter says of the council. */
     public record State(NodeName self, NodeName leader, int term, List<Seen> seen, List<Book.Held> duties,
             String digest, long deeds, List<Permit> permits, String haltedBy, List<Book.Entry> history, Release release,
-            List<Rest> rests, Map<String, Tally> past) {}
+            String good, List<Rest> rests, Map<String, Tally> past) {}
 
     /**
      * What an operator asks for.
@@ -337,7 +337,7 @@
     public State state(boolean withPast) {
         List<Seen> seen = leads() ? steward.picture(book, means.loop().now()) : List.of();
         return new State(self, leader(), raft.getTerm().getTerm(), seen, new ArrayList<>(book.duties()), book.digest(),
-                book.deeds(), new ArrayList<>(book.permits()), book.haltedBy(), book.history(), book.release(),
+                book.deeds(), new ArrayList<>(book.permits()), book.haltedBy(), book.history(), book.release(), book.good(),
                 new ArrayList<>(book.rests()),
                 withPast ? book.past() : null);
     }
--- a/src/main/java/lupinwood/council/Fleet.java
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -520,12 +520,12 @@
             return;
         }
         Council.State state = GSON.fromJson(told, Council.State.class);
-        Picture picture = new Picture(state.release(), state.haltedBy(), state.seen(), state.permits(),
+        Picture picture = new Picture(state.release(), state.good(), state.haltedBy(), state.seen(), state.permits(),
                 settings.outs().mostOf(state.seen().size()), state.past());
         String before = conductor.says();
         List<Act> acts = conductor.decide(picture, token, loop.now());
         if (!conductor.says().equals(before) && !conductor.says().isEmpty()) {
-            log.line("fleet: " + state.release() + ": " + conductor.says());
+            log.line("fleet: " + (state.release() == null ? "" : state.release() + ": ") + conductor.says());
         }
         for (Act act : acts) {
             JsonObject text = new JsonObject();
@@ -534,8 +534,8 @@
                 text.addProperty("d", DeedText.of(write.deed()));
             } else if (act instanceof Act.Let let) {
                 text.addProperty("k", "order");
-                text.add("o", GSON.toJsonTree(new Council.Order(let.order(), "leave", let.node(), "release "
-                        + state.release().number())));
+                text.add("o", GSON.toJsonTree(new Council.Order(let.order(), "leave", let.node(),
+                        state.release() == null ? "the conductor" : state.release().toString())));
             }
             carriage.say(voters.get(session.talksTo()), text);
         }
--- a/src/main/java/lupinwood/council/FleetSettings.java
+++ b/src/main/java/lupinwood/council/FleetSettings.java
@@ -54,7 +54,8 @@
                         meaning.values().getOrDefault("fleet zone", "zone")), voters,
                 !votes ? null : listen != null ? address(listen) : voters.get(new NodeName(name)),
                 votes ? Path.of(meaning.values().getOrDefault("fleet folder", "")) : null,
-                meaning.value("fleet report") == null ? null : address(meaning.value("fleet report")), rules, outs(meaning),
+                meaning.value("fleet report") == null ? null : address(meaning.value("fleet report")), rules,
+                outs(meaning, new ArrayList<>(voters.keySet())),
                 limits(meaning, lease), servers(meaning), meaning.number("out below-most", BigDecimal.ONE).intValue());
     }
 
@@ -87,13 +88,13 @@
                 meaning.number("release harm", HARM).doubleValue(), lease);
     }
 
-    private static OutRules outs(Meaning meaning) {
+    private static OutRules outs(Meaning meaning, List<NodeName> voters) {
         OutRules usual = OutRules.USUAL;
         return new OutRules(meaning.number("out most", BigDecimal.valueOf(usual.most())).intValue(),
                 meaning.number("out share", BigDecimal.valueOf(usual.share())).doubleValue(),
                 meaning.number("out zone-most", BigDecimal.valueOf(usual.zoneMost())).intValue(),
                 meaning.number("out zone-share", BigDecimal.valueOf(usual.zoneShare())).doubleValue(),
-                meaning.number("out least-in", BigDecimal.valueOf(usual.leastIn())).intValue());
+                meaning.number("out least-in", BigDecimal.valueOf(usual.leastIn())).intValue(), voters);
     }
 
     public boolean votes() {
--- a/src/main/java/lupinwood/fleet/Book.java
+++ b/src/main/java/lupinwood/fleet/Book.java
@@ -275,6 +275,11 @@
         return releases.release();
     }
 
+    /** The digest of the text that all run while no release is open; empty for none. */
+    public String good() {
+        return releases.good();
+    }
+
     /** What each node answered over a watch before the open release, by its name. */
     public Map<String, Tally> past() {
         return releases.past();
--- a/src/main/java/lupinwood/fleet/Outs.java
+++ b/src/main/java/lupinwood/fleet/Outs.java
@@ -43,6 +43,13 @@
         if (all - gone < rules.leastIn()) {
             return "fewer than " + rules.leastIn() + " nodes would stay in";
         }
+        // Null in a deed of an older version.
+        if (rules.voters() != null && rules.voters().contains(node)) {
+            int without = 1 + (int) rules.voters().stream().filter(out::contains).count();
+            if (without * 2 >= rules.voters().size()) {
+                return "of " + rules.voters().size() + " voters " + (without - 1) + " are out, and a majority has to stay";
+            }
+        }
         int inZone = (int) members.stream().filter(one -> one.site().equals(member.site())).count();
         int outOfZone = 1 + (int) members.stream()
                 .filter(one -> one.site().equals(member.site()) && out.contains(one.name())).count();
--- a/src/main/java/lupinwood/fleet/Releases.java
+++ b/src/main/java/lupinwood/fleet/Releases.java
@@ -113,6 +113,10 @@
         return true;
     }
 
+    String good() {
+        return good.digest();
+    }
+
     Map<String, Tally> past() {
         return past;
     }
--- a/src/main/java/lupinwood/fleet/Reply.java
+++ b/src/main/java/lupinwood/fleet/Reply.java
@@ -24,10 +24,14 @@
      *
      * @param runs the digest of the fleet's text that it is to go by; empty for none
      * @param checks the digest of a text that it is to check; empty for none
-     * @param busy whether a release is open
+     * @param busy whether a release is open, or some node has yet to take what was agreed on
      * @param rests servers below to which it is to send nothing new
      */
-    public record Wanted(String runs, String checks, boolean busy, List<String> rests) {}
+    public record Wanted(String runs, String checks, boolean busy, List<String> rests) {
+        Wanted busyOr(boolean also) {
+            return new Wanted(runs, checks, busy || also, rests);
+        }
+    }
 
     static Reply notTaken(long number, NodeName leader) {
         return new Reply(number, false, leader, "", Span.ZERO, List.of(), List.of(), 0, null, 0);
--- a/src/main/java/lupinwood/fleet/Steward.java
+++ b/src/main/java/lupinwood/fleet/Steward.java
@@ -57,6 +57,8 @@
     /** Since when a node with a permit is seen to be here still. */
     private final Map<Long, Moment> toldToGo = new HashMap<>();
     private Moment leadsSince;
+    /** Whether some node runs another text than it is to. */
+    private boolean lags;
 
     public Steward(Rules rules, List<DutyName> duties) {
         this.rules = rules;
@@ -152,6 +154,8 @@
             return deeds;
         }
         roster(book, now, deeds);
+        lags = heard.values().stream().anyMatch(one -> isFresh(one, now) && one.beat.report() != null
+                && !book.wanted(one.beat.name()).runs().equals(one.beat.report().runs()));
         permits(book, now, deeds);
         for (DutyName duty : duties) {
             Book.Held held = book.duty(duty);
@@ -307,7 +311,8 @@
         int others = (int) heard.values().stream().filter(one -> isFresh(one, now)).count();
         long leave = trouble.isEmpty() ? book.permits().stream().filter(permit -> permit.node().equals(beat.name())
                 && permit.life().equals(beat.life())).mapToLong(Permit::number).findFirst().orElse(0) : 0;
-        return new Reply(beat.number(), true, self, trouble, rules.lease(), grants, told, leave, book.wanted(beat.name()), others);
+        return new Reply(beat.number(), true, self, trouble, rules.lease(), grants, told, leave,
+                book.wanted(beat.name()).busyOr(lags), others);
     }
 
     /** What a voter that doesn't lead says. */
--- a/src/main/java/lupinwood/lab/ReleasePlay.java
+++ b/src/main/java/lupinwood/lab/ReleasePlay.java
@@ -392,7 +392,7 @@
             conductor = new Conductor(held.holder(), limits);
             trace.accept(time + " " + held.holder() + " leads under " + token);
         }
-        Picture picture = new Picture(book.release(), book.haltedBy(), steward.picture(book, now()), book.permits(),
+        Picture picture = new Picture(book.release(), book.good(), book.haltedBy(), steward.picture(book, now()), book.permits(),
                 outs.mostOf(nodes.size()), book.past());
         String before = conductor.says();
         for (Act act : conductor.decide(picture, token, now())) {
--- a/src/main/java/lupinwood/load/TextAtStart.java
+++ b/src/main/java/lupinwood/load/TextAtStart.java
@@ -15,7 +15,7 @@
  * @param digest of the text; empty for none
  */
 public record TextAtStart(NodeConfig config, String digest, List<String> rests) {
-    private static final Span MOST = Span.ofSeconds(1.5);
+    private static final Span MOST = Span.ofSeconds(3);
 
     /** The loader lays the text over the files from then on. */
     public static TextAtStart ask(Loader loader, NodeConfig own, Log log) {
@@ -24,7 +24,7 @@
         Question.Wanted wanted = null;
         try {
             wanted = Question.wanted(settings.voters().values(), settings.name(),
-                    settings.rules().lease().times(0.5).min(MOST), log);
+                    settings.rules().lease().min(MOST), log);
             if (wanted == null) {
                 return alone;
             }
--- a/src/main/java/lupinwood/release/Conductor.java
+++ b/src/main/java/lupinwood/release/Conductor.java
@@ -77,7 +77,7 @@
             number = -1;
             says = "";
             histories.clear();
-            return List.of();
+            return picture.haltedBy().isEmpty() ? catchUp(picture) : List.of();
         }
         if (release.number() != number) {
             number = release.number();
@@ -118,6 +118,19 @@
         return release.steps() == 0 ? check(picture, release, token, now) : wave(picture, release, token, now);
     }
 
+    /** Nodes that were away, or came back while nobody could tell them, take what was agreed on, if need be by a restart. */
+    private List<Act> catchUp(Picture picture) {
+        List<Act> acts = new ArrayList<>();
+        for (Seen seen : picture.seen()) {
+            boolean lags = isThere(seen) && seen.report() != null && !seen.report().runs().equals(picture.good());
+            if (lags && restartsFor(seen, picture.good()) && !picture.hasPermit(seen.name())) {
+                acts.add(new Act.Let("g" + picture.good() + "." + seen.name() + "." + seen.life(), seen.name()));
+            }
+        }
+        says = acts.isEmpty() ? "" : acts.size() + " nodes need a restart to run what was agreed on";
+        return few(acts);
+    }
+
     // ---- before it starts ----
 
     private List<Act> check(Picture picture, Release release, Token token, Moment now) {
@@ -233,7 +246,7 @@
             }
             if (isThere(seen) && !runs(seen, release.kind(), release.to()) && needsRestart(seen, release, release.to())) {
                 if (!picture.hasPermit(node)) {
-                    acts.add(new Act.Let("r" + release.number() + "." + node, node));
+                    acts.add(new Act.Let("r" + release.number() + "." + node + "." + seen.life(), node));
                     missing.remove(node); // it waits for its permit, which is nobody's fault
                     unpermitted.add(node);
                     waits.add(node);
@@ -319,9 +332,12 @@
 
     /** Whether a node that is there says that it would run the one or the other after a restart only. */
     private static boolean needsRestart(Seen seen, Release release, String what) {
+        return release.kind() == Release.Kind.PROGRAM || restartsFor(seen, what);
+    }
+
+    private static boolean restartsFor(Seen seen, String digest) {
         Report.Checked checked = seen.report() == null ? null : seen.report().checked();
-        return release.kind() == Release.Kind.PROGRAM
-                || checked != null && checked.digest().equals(what) && checked.restarts();
+        return checked != null && checked.digest().equals(digest) && checked.restarts();
     }
 
     // ---- halts, and back ----
@@ -352,7 +368,7 @@
             }
             waits.add(node);
             if (isThere(seen) && !old && needsRestart(seen, release, release.from()) && !picture.hasPermit(node)) {
-                acts.add(new Act.Let("b" + release.number() + "." + node, node));
+                acts.add(new Act.Let("b" + release.number() + "." + node + "." + seen.life(), node));
                 missing.remove(node); // it waits for its permit
                 continue;
             }
--- a/src/test/java/lupinwood/fleet/PermitTest.java
+++ b/src/test/java/lupinwood/fleet/PermitTest.java
@@ -52,6 +52,19 @@
         assertThat(small.against(node(1), RULES, List.of())).isEqualTo("fewer than 4 nodes would stay in");
     }
 
+    @Test
+    void aMajorityOfVotersStaysWhateverElseTheRulesAllow() {
+        join(9);
+        OutRules rules = new OutRules(9, 1, 9, 1, 0, List.of(node(0), node(1), node(2)));
+        assertThat(book.apply(new Deed.Allow("o1", node(0), "ann", 1, rules, List.of()))).isTrue();
+        assertThat(book.apply(new Deed.Allow("o2", node(4), "ann", 1, rules, List.of()))).isTrue();
+        assertThat(book.apply(new Deed.Allow("o3", node(1), "ann", 1, rules, List.of()))).isFalse();
+        assertThat(book.against(node(1), rules, List.of())).isEqualTo("of 3 voters 1 are out, and a majority has to stay");
+        book.apply(new Deed.Back(1, "well again", 2));
+        assertThat(book.against(node(1), rules, List.of(node(2)))).contains("a majority has to stay");
+        assertThat(book.against(node(1), rules, List.of())).isEmpty();
+    }
+
     @Test
     void anOrderGivenTwiceIsDoneOnceAndNothingIsAllowedWhileHalted() {
         join(9);
--- a/src/test/java/lupinwood/release/ConductorTest.java
+++ b/src/test/java/lupinwood/release/ConductorTest.java
@@ -56,7 +56,7 @@
             seen.add(new Seen(name(i), new Life(i), new Site("r", "z" + i % 3), there[i] ? Standing.WARM : Standing.UNKNOWN,
                     Span.ZERO, new Report("1", runs[i], checked, List.of(), tally)));
         }
-        return new Picture(book.release(), book.haltedBy(), seen, book.permits(), 3, book.past());
+        return new Picture(book.release(), book.good(), book.haltedBy(), seen, book.permits(), 3, book.past());
     }
 
     /** Seconds go by, and nodes do as they are told. */
