--- a/src/main/java/lupinwood/cli/LabCommand.java
+++ b/src/main/java/lupinwood/cli/LabCommand.java
@@ -29,6 +29,9 @@
     @Parameter(names = "--seconds", description = "How long, where that can be chosen; 0 for as usual")
     private int seconds;
 
+    @Parameter(names = "--plot", description = "A PNG file to which release and release-ways draw who ran what and who was out")
+    private String plot = "";
+
     @Parameter(names = "--log", description = "Print the node's log too, on standard error")
     private boolean logs;
 
@@ -37,7 +40,7 @@
         // Without --log nobody drains it: it keeps a bounded number of lines and drops the rest.
         Log log = logs ? Log.start() : new Log(new PrintStream(new ByteArrayOutputStream()), Instant::now);
         LibraryLogs.sendTo(log);
-        Experiment experiment = Experiments.named(name, seed, size, seconds, System.out, log);
+        Experiment experiment = Experiments.named(name, seed, size, seconds, plot, System.out, log);
         if (experiment == null) {
             System.err.println("lupinwood: there is no experiment " + name + "; there is: " + Experiments.NAMES);
             return USAGE;
--- a/src/main/java/lupinwood/lab/Experiments.java
+++ b/src/main/java/lupinwood/lab/Experiments.java
@@ -14,9 +14,11 @@
      * Null where there is none of that name.
      *
      * @param size how many steps, or nodes, it has where it has any; 0 for its usual number
+     * @param plot a file to which it is drawn, where it can be; empty for none
      * @param seconds how long it takes where that can be chosen; 0 for as usual
      */
-    public static Experiment named(String name, long seed, int size, int seconds, PrintStream out, Log log) {
+    public static Experiment named(String name, long seed, int size, int seconds, String plot, PrintStream out,
+            Log log) {
         return switch (name) {
             case "tour" -> new Tour(seed, out, log);
             case "reload-storm" -> new ReloadStorm(seed, size > 0 ? size : 300, log);
@@ -37,10 +39,10 @@
             case "fleet-tour" -> new FleetTour(seed, out);
             case "hand-overs" -> new HandOvers(seed, size > 0 ? size : 40);
             case "fleet-on-off" -> new FleetOnOff(seed, seconds > 0 ? seconds : 30);
-            case "release" -> new ReleaseRun(seed, size > 0 ? size : 12, seconds > 0 ? Math.max(1, seconds / 60) : 4, log);
+            case "release" -> new ReleaseRun(seed, size > 0 ? size : 12, seconds > 0 ? Math.max(1, seconds / 60) : 4, plot, log);
             case "rest" -> new RestRun(seed, size > 0 ? size : 4, log);
             case "release-tour" -> new ReleaseTour(seed, out);
-            case "release-ways" -> new ReleaseWays(seed, size > 0 ? size : 300);
+            case "release-ways" -> new ReleaseWays(seed, size > 0 ? size : 300, plot);
             case "releases-time" -> new ReleasesInTime(seed, size > 0 ? size : 200, out);
             case "permits" -> new PermitsRun(seed, seconds > 0 ? seconds : 60, log);
             default -> null;
--- a/src/main/java/lupinwood/lab/ReleasePlay.java
+++ b/src/main/java/lupinwood/lab/ReleasePlay.java
@@ -204,6 +204,7 @@
     private double begun = -1;
     private double diesAt = Double.MAX_VALUE;
     private double dyingShare;
+    private Timeline timeline;
     private double served;
     private double offered;
 
@@ -219,6 +220,12 @@
         return served / offered;
     }
 
+    /** Writes down who runs what, and who is out, each second from the beginning on. */
+    ReleasePlay drawnBy(Timeline drawn) {
+        timeline = drawn;
+        return this;
+    }
+
     /** Plays on, so that as much time is compared as elsewhere. */
     void playUntil(double seconds) {
         for (; time - begun < seconds; time++) {
@@ -229,6 +236,12 @@
     private void account() {
         double capacity = nodes.stream().filter(node -> node.up).mapToDouble(node -> node.condition() == Condition.WARM ? 1
                 : ReleaseWays.COLD_SPEED).sum();
+        if (timeline != null) {
+            int old = (int) nodes.stream().filter(node -> node.up && node.runs.equals(OLD)).count();
+            int changed = (int) nodes.stream().filter(node -> node.up && node.runs.equals(NEW)).count();
+            int in = (int) nodes.stream().filter(node -> node.up && node.condition() == Condition.WARM).count();
+            timeline.add(time - begun, old, changed, nodes.size() - in);
+        }
         offered += nodes.size() * ReleaseWays.LOAD;
         served += Math.min(nodes.size() * ReleaseWays.LOAD, capacity);
         if (time - begun >= diesAt) {
--- a/src/main/java/lupinwood/lab/ReleaseRun.java
+++ b/src/main/java/lupinwood/lab/ReleaseRun.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -57,6 +58,9 @@
     private final Map<String, Long> goneByPermit = new ConcurrentHashMap<>();
     private final Map<String, Integer> ends = new TreeMap<>();
     private final Random random;
+    private final String plot;
+    private final Timeline timeline = new Timeline();
+    private final long begun = System.currentTimeMillis();
     private ProcessFleet fleet;
     private String good = "";
     private volatile String from = "";
@@ -68,7 +72,9 @@
     private int mostOut;
     private int went;
 
-    ReleaseRun(long seed, int nodes, int rounds, Log log) {
+    /** @param plot where it is drawn; empty for nowhere */
+    ReleaseRun(long seed, int nodes, int rounds, String plot, Log log) {
+        this.plot = plot;
         this.seed = seed;
         this.nodes = nodes;
         this.rounds = rounds;
@@ -99,6 +105,9 @@
                 }
             }
             Thread.sleep(3 * LEASE_MILLIS);
+            if (!plot.isEmpty()) {
+                timeline.draw(Path.of(plot), rounds + " releases among " + nodes + " processes, seed " + seed);
+            }
             broken.addAll(all.leaveAll());
             return new Outcome(String.format(Locale.ROOT, "release: nodes %d, rounds %d, ended %s, went by permit %d, out at most %d"
                     + " of %d, tickets %d, satisfied %d, bounced %d, abandoned %d, excused %d, broken %d", nodes, rounds, ends, went,
@@ -221,6 +230,7 @@
         Council.State state = fleet.state();
         while (System.currentTimeMillis() < deadline) {
             state = fleet.state();
+            draw();
             if (state != null && state.release() == null) {
                 break;
             }
@@ -237,6 +247,13 @@
         ended(round, what, fault, state, wish);
     }
 
+    private void draw() {
+        List<ProcessFleet.Member> up = fleet.members.stream().filter(member -> member.process.isUp()).toList();
+        int changed = (int) up.stream().filter(member -> !to.equals(from)
+                && to.equals(runs.getOrDefault(member.process.name(), ""))).count();
+        timeline.add((System.currentTimeMillis() - begun) / 1000.0, up.size() - changed, changed, nodes - up.size());
+    }
+
     private void ended(int round, What what, Fault fault, Council.State state, Council.Wish wish) throws InterruptedException {
         String last = state == null || state.history().isEmpty() ? "" : state.history().stream().map(one -> one.text())
                 .filter(one -> one.contains(" is done") || one.contains(" has ended")).reduce((a, b) -> b).orElse("");
--- a/src/main/java/lupinwood/lab/ReleaseWays.java
+++ b/src/main/java/lupinwood/lab/ReleaseWays.java
@@ -1,5 +1,7 @@
 package lupinwood.lab;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -24,8 +26,11 @@
 
     private final long seed;
     private final int nodes;
+    private final String plot;
 
-    ReleaseWays(long seed, int nodes) {
+    /** @param plot where the agreed one is drawn; empty for nowhere */
+    ReleaseWays(long seed, int nodes, String plot) {
+        this.plot = plot;
         this.seed = seed;
         this.nodes = nodes;
     }
@@ -33,13 +38,18 @@
     private record Told(double served, double took) {}
 
     @Override
-    public Outcome run() {
+    public Outcome run() throws IOException {
         List<String> broken = new ArrayList<>();
         double script = nodes * (RESTART + 2);
         double horizon = Math.max(script, 3600);
+        Timeline timeline = new Timeline();
         ReleasePlay play = new ReleasePlay(ReleasePlay.Kind.GOOD_BY_RESTARTS, nodes, ZONES, seed, text -> { })
-                .dying(DIES_AFTER, DYING);
+                .dying(DIES_AFTER, DYING).drawnBy(timeline);
         ReleasePlay.Played played = play.play();
+        if (!plot.isEmpty()) {
+            timeline.draw(Path.of(plot), "A release by restarts among " + nodes + " nodes, a fifth of which dies after "
+                    + Math.round(DIES_AFTER) + " s");
+        }
         play.playUntil(horizon);
         broken.addAll(played.broken());
         if (played.end() != ReleasePlay.End.DONE) {
--- a/src/test/java/lupinwood/lab/LabTest.java
+++ b/src/test/java/lupinwood/lab/LabTest.java
@@ -50,7 +50,7 @@
     @Test
     void theTourShowsEachKindOfAnswer() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("tour", 1, 0, 0, new PrintStream(printed, true), log).run();
+                Experiments.named("tour", 1, 0, 0, "", new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
         assertThat(outcome.line()).isEqualTo("tour: abandoned 2, runs 4, satisfied 5, sent 7, broken 0");
         assertThat(printed.toString()).contains("satisfied: done: scooter 7");
@@ -59,21 +59,21 @@
     @Test
     void bothFrontsAnswerEachTicketOnceAndAnUnlockThatComesOverBothRunsOnce() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("mixed-fronts", 3, 60, 0, new PrintStream(printed, true), log).run();
+                Experiments.named("mixed-fronts", 3, 60, 0, "", new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
         assertThat(outcome.line()).contains("ajp cut", "ajp refused");
     }
 
     @Test
     void aPoolOutlivesOneServerInFour() throws Exception {
-        Experiment.Outcome outcome = Experiments.named("pools", 1, 0, 0, new PrintStream(printed, true), log).run();
+        Experiment.Outcome outcome = Experiments.named("pools", 1, 0, 0, "", new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
     }
 
     @Test
     void aStormOfReloadsLosesNothingAndRunsNothingTwice() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("reload-storm", 5, 25, 0, new PrintStream(printed, true), log).run();
+                Experiments.named("reload-storm", 5, 25, 0, "", new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
         assertThat(outcome.line()).contains("reloads 25", "mute", "half-written", "refused");
     }
@@ -81,7 +81,7 @@
     @Test
     void noTwoDoOneDutyInMadeUpTimeAndEachSafeguardLeftOutIsFound() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("duties-time", 1, 100, 0, new PrintStream(printed, true), log).run();
+                Experiments.named("duties-time", 1, 100, 0, "", new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
         assertThat(outcome.line()).contains("schedules 100", "without TOKEN found", "without EARLY_STOP found",
                 "without DRIFT found", "without DURABLE_VOTE found");
@@ -89,14 +89,14 @@
 
     @Test
     void oneOfManyTriesWhatAllHaveLeftOutAndAFleetsTalkGrowsWithItsSizeOnly() throws Exception {
-        assertThat(Experiments.named("trials", 1, 40, 0, new PrintStream(printed, true), log).run().broken()).isEmpty();
-        assertThat(Experiments.named("fleet-cost", 1, 0, 20, new PrintStream(printed, true), log).run().broken()).isEmpty();
+        assertThat(Experiments.named("trials", 1, 40, 0, "", new PrintStream(printed, true), log).run().broken()).isEmpty();
+        assertThat(Experiments.named("fleet-cost", 1, 0, 20, "", new PrintStream(printed, true), log).run().broken()).isEmpty();
     }
 
     @Test
     void realProcessesNeverActUnderTwoTokens() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("duties", 2, 5, 12, new PrintStream(printed, true), log).run();
+                Experiments.named("duties", 2, 5, 12, "", new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
     }
 
@@ -121,14 +121,14 @@
     @Test
     void badReleasesAreCaughtAndGoodOnesGoThroughInMadeUpTime() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("releases-time", 3, 48, 0, new PrintStream(printed, true), log).run();
+                Experiments.named("releases-time", 3, 48, 0, "", new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
     }
 
     @Test
     void aReleaseGoesThroughRealProcessesAndABadOneComesBack() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("release", 6, 6, 120, new PrintStream(printed, true), log).run();
+                Experiments.named("release", 6, 6, 120, "", new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
         assertThat(outcome.line()).contains("GOOD_TEXT done=1", "REFUSED_TEXT back=1");
     }
@@ -136,7 +136,7 @@
     @Test
     void noMoreNodesGoAtOnceThanTheFilesSay() throws Exception {
         Experiment.Outcome outcome =
-                Experiments.named("permits", 2, 0, 15, new PrintStream(printed, true), log).run();
+                Experiments.named("permits", 2, 0, 15, "", new PrintStream(printed, true), log).run();
         assertThat(outcome.broken()).isEmpty();
     }
 }
