Load nothing of the fleet in a node without one

Cause: the verifier asked whether TextHands is a Hands, for a lambda of Serve, and loaded lupinwood.council.Hands (found by ServeProcessTest).

--- a/src/main/java/lupinwood/load/TextHands.java
+++ b/src/main/java/lupinwood/load/TextHands.java
@@ -22,8 +22,7 @@
     private final TextAtStart atStart;
     private final Log log;
 
-    /** @param atStart what was agreed before the node started */
-    public TextHands(Loader loader, Reloader reloader, Serving serving, TextAtStart atStart, Log log) {
+    private TextHands(Loader loader, Reloader reloader, Serving serving, TextAtStart atStart, Log log) {
         this.loader = loader;
         this.reloader = reloader;
         this.serving = serving;
@@ -31,6 +30,15 @@
         this.log = log;
     }
 
+    /**
+     * As the interface itself, so that a node without a fleet needn't load it to know that this is one.
+     *
+     * @param atStart what was agreed before the node started
+     */
+    public static Hands of(Loader loader, Reloader reloader, Serving serving, TextAtStart atStart, Log log) {
+        return new TextHands(loader, reloader, serving, atStart, log);
+    }
+
     @Override
     public String runs() {
         return atStart.digest();
--- a/src/main/java/lupinwood/net/FleetPart.java
+++ b/src/main/java/lupinwood/net/FleetPart.java
@@ -46,14 +46,15 @@
 
     /**
      * @param servers null where none carries out tickets
-     * @param hands checks and takes the fleet's text; asked for when the fleet's part starts
+     * @param hands checks and takes the fleet's text; asked for when the fleet's part starts; null where nobody does
      * @param leave has this node leave as by the notice; returns at once
      */
     FleetPart(Meaning meaning, AjpServers servers, Deadlines deadlines, Supplier<Hands> hands, Runnable leave, Log log) {
         this.deadlines = deadlines;
         this.servers = servers;
         warmAfter = new Span(meaning.number("rules warm-after", BigDecimal.ZERO).longValue());
-        fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut, () -> emptied, () -> tally, hands, leave),
+        fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut, () -> emptied, () -> tally,
+                () -> hands.get() == null ? Hands.NONE : hands.get(), leave),
                 log);
     }
 
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -90,7 +90,7 @@
                 : new AjpServers(config.meaning(), config.seed(), means);
         fleet = config.meaning().items(Schema.VOTER).isEmpty() ? null
                 : new FleetPart(config.meaning(), servers, deadlines,
-                        () -> hands == null ? Hands.NONE : hands.get(), () -> leaveAsked.run(), log);
+                        () -> hands == null ? null : hands.get(), () -> leaveAsked.run(), log);
         index = new IndexLink(config.index(), means);
         naming = new NamingReporter(config.naming(), config.name(), means);
         int connections = Math.max(config.sockets() / 2 + 1, config.sockets() - OWN_DESCRIPTORS);
