Keep the fleet's interface out of the command's own signatures

The command line's library looks through all methods of a command, lambdas too, and so loaded what their signatures name. Change: the supplier is made in TextHands.

--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -77,7 +77,7 @@
         boolean watches = watching == Watching.ON || watching == Watching.AUTO && !heard;
         Reloader reads = new Reloader(loader, loaded, looked, watches, node, log);
         if (inFleet) {
-            node.onText(() -> TextHands.of(loader, reads, node, (TextAtStart) agreed, log));
+            node.onText(TextHands.of(loader, reads, node, (TextAtStart) agreed, log));
         }
         try {
             node.start();
--- a/src/main/java/lupinwood/load/TextHands.java
+++ b/src/main/java/lupinwood/load/TextHands.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import lupinwood.council.Hands;
 import lupinwood.fleet.Report;
@@ -31,12 +32,13 @@
     }
 
     /**
-     * As the interface itself, so that a node without a fleet needn't load it to know that this is one.
+     * Made once it is asked for, and here: a method of the command whose signature names the interface would have it loaded
+     * in each node, since the command's methods are looked through for options.
      *
      * @param atStart what was agreed before the node started
      */
-    public static Hands of(Loader loader, Reloader reloader, Serving serving, TextAtStart atStart, Log log) {
-        return new TextHands(loader, reloader, serving, atStart, log);
+    public static Supplier<Hands> of(Loader loader, Reloader reloader, Serving serving, TextAtStart atStart, Log log) {
+        return () -> new TextHands(loader, reloader, serving, atStart, log);
     }
 
     @Override
