Leave out each safeguard of a release once, and find it

Change: lab releases-time plays on without permits, watch, token and check; the audit also holds that no wave follows another too soon.

--- a/src/main/java/lupinwood/lab/ReleasePlay.java
+++ b/src/main/java/lupinwood/lab/ReleasePlay.java
@@ -55,6 +55,9 @@
         }
     }
 
+    /** A safeguard that may be left out, to show that the audit finds it. */
+    enum Without { NOTHING, PERMITS, WATCH, TOKEN, CHECK }
+
     /** How it ended. */
     enum End { DONE, BACK, HALTED, REFUSED, OPEN }
 
@@ -70,6 +73,8 @@
     private static final double WATCH = 60;
     private static final double WATCH_MOST = 600;
     private static final double LONGEST = 4 * 3600;
+    private static final Limits BLIND = new Limits(Span.ofSeconds(WATCH), Span.ofSeconds(WATCH_MOST), 100, 1e9, LEASE,
+            Span.ofSeconds(WATCH));
     private static final double[] WEIGHTS = {0.55, 0.33, 0.12};
     private static final double WARMS_UP = 6;
     private static final double A_MINUTE = 60;
@@ -179,6 +184,10 @@
         }
 
         private boolean refuses() {
+            return isRefuser() && without != Without.CHECK;
+        }
+
+        private boolean isRefuser() {
             return kind == Kind.REFUSED_BY_ONE && name.equals(nodes.get(nodes.size() - 1).name);
         }
     }
@@ -205,6 +214,11 @@
     private double diesAt = Double.MAX_VALUE;
     private double dyingShare;
     private Timeline timeline;
+    private Without without = Without.NOTHING;
+    /** Of the conductor before, whose last word is still on its way; null where none is. */
+    private Token stalledToken;
+    private int stepsSeen;
+    private double stepAt;
     private double served;
     private double offered;
 
@@ -220,6 +234,11 @@
         return served / offered;
     }
 
+    ReleasePlay without(Without leftOut) {
+        without = leftOut;
+        return this;
+    }
+
     /** Writes down who runs what, and who is out, each second from the beginning on. */
     ReleasePlay drawnBy(Timeline drawn) {
         timeline = drawn;
@@ -383,7 +402,8 @@
             node.takes = wanted;
             node.takesAt = time + 1 + random.nextInt(3);
         }
-        if (!kind.byRestarts() && !node.takes.equals(node.runs) && time >= node.takesAt) {
+        boolean refuses = node.isRefuser() && node.takes.equals(NEW);
+        if (!kind.byRestarts() && !node.takes.equals(node.runs) && time >= node.takesAt && !refuses) {
             node.runs = node.takes;
             node.changedAt = time;
         }
@@ -401,19 +421,24 @@
             return;
         }
         if (!held.token().equals(token)) {
+            stalledToken = token;
             token = held.token();
-            conductor = new Conductor(held.holder(), limits);
+            conductor = new Conductor(held.holder(), without == Without.WATCH ? BLIND : limits);
             trace.accept(time + " " + held.holder() + " leads under " + token);
         }
         Picture picture = new Picture(book.release(), book.good(), book.haltedBy(), steward.picture(book, now()), book.permits(),
                 outs.mostOf(nodes.size()), book.past());
+        if (stalledToken != null) {
+            lateWord(picture);
+        }
         String before = conductor.says();
         for (Act act : conductor.decide(picture, token, now())) {
             if (act instanceof Act.Write write) {
                 boolean fitted = book.apply(write.deed());
                 trace.accept(time + " " + write.deed() + " " + fitted);
             } else if (act instanceof Act.Let let) {
-                book.apply(new Deed.Allow(let.order(), let.node(), "release", 0, outs, steward.seenOut(book, now())));
+                OutRules bounds = without == Without.PERMITS ? new OutRules(nodes.size(), 1, nodes.size(), 1, 0) : outs;
+                book.apply(new Deed.Allow(let.order(), let.node(), "release", 0, bounds, steward.seenOut(book, now())));
             }
         }
         if (!conductor.says().equals(before)) {
@@ -421,6 +446,18 @@
         }
     }
 
+    /** The next wave that the one before had decided on when it was stopped comes late, under its token. */
+    private void lateWord(Picture picture) {
+        Release release = picture.release();
+        if (release == null || release.steps() == 0 || release.back()) {
+            return;
+        }
+        List<NodeName> next = nodes.stream().map(node -> node.name).filter(name -> !release.isGiven(name)).limit(3).toList();
+        Token shown = without == Without.TOKEN ? token : stalledToken;
+        book.apply(new Deed.Step(shown, release.number(), release.steps() + 1, false, next, "", null, 0));
+        stalledToken = null;
+    }
+
     private void audit() {
         Set<String> versions = new HashSet<>();
         nodes.forEach(node -> versions.add(node.runs));
@@ -437,6 +474,13 @@
             }
         }
         Release release = book.release();
+        if (release != null && !release.back() && release.steps() != stepsSeen) {
+            if (stepsSeen > 0 && time - stepAt < WATCH) {
+                breaks("step " + release.steps() + " was given " + (time - stepAt) + " s after the one before");
+            }
+            stepsSeen = release.steps();
+            stepAt = time;
+        }
         for (Node node : nodes) {
             if (node.runs.equals(NEW) && release != null && release.steps() == 0) {
                 breaks(node.name + " has it before it was given");
--- a/src/main/java/lupinwood/lab/ReleasesInTime.java
+++ b/src/main/java/lupinwood/lab/ReleasesInTime.java
@@ -15,6 +15,7 @@
 final class ReleasesInTime implements Experiment {
     /** Good releases that may be stopped in error, and bad ones that may get through, as shares. */
     private static final double MOST_IN_ERROR = 0.05;
+    private static final int TRIES = 10;
     private static final double MOST_MISSED = 0.10;
 
     private record One(ReleasePlay.Kind kind, int nodes, ReleasePlay.Played played, long seed) {}
@@ -64,14 +65,24 @@
                 missed += !one.kind().good && error ? 1 : 0;
             }
         }
+        StringBuilder found = new StringBuilder();
+        for (ReleasePlay.Without without : releases > 1 ? ReleasePlay.Without.values() : new ReleasePlay.Without[0]) {
+            if (without != ReleasePlay.Without.NOTHING) {
+                int tries = firstFound(without);
+                found.append(", without ").append(without).append(" found in play ").append(tries);
+                if (tries < 0) {
+                    broken.add("nothing found without " + without + " in " + TRIES + " plays");
+                }
+            }
+        }
         if (releases > 1 && inError > MOST_IN_ERROR * good) {
             broken.add(inError + " of " + good + " good releases were stopped");
         }
         if (releases > 1 && missed > MOST_MISSED * bad) {
             broken.add(missed + " of " + bad + " bad releases went through");
         }
-        return new Outcome(String.format(Locale.ROOT, "releases-time: good %d, stopped in error %d, halted as not sure %d, bad %d, missed %d, broken %d",
-                good, inError, unsure, bad, missed, broken.size()), broken);
+        return new Outcome(String.format(Locale.ROOT, "releases-time: good %d, stopped in error %d, halted as not sure %d, bad %d, missed %d%s, broken %d",
+                good, inError, unsure, bad, missed, found, broken.size()), broken);
     }
 
     private static double median(List<One> plays, ToDoubleFunction<One> of) {
@@ -80,6 +91,23 @@
         return values.isEmpty() ? 0 : values.get(values.size() / 2);
     }
 
+    /** In which play what was left out is found, or below zero; each by a release that shows it. */
+    private int firstFound(ReleasePlay.Without without) {
+        ReleasePlay.Kind kind = switch (without) {
+            case PERMITS -> ReleasePlay.Kind.GOOD_BY_RESTARTS;
+            case WATCH -> ReleasePlay.Kind.BAD_AT_ONCE;
+            case TOKEN -> ReleasePlay.Kind.GOOD_CONDUCTOR_DIES;
+            default -> ReleasePlay.Kind.REFUSED_BY_ONE;
+        };
+        for (int i = 0; i < TRIES; i++) {
+            ReleasePlay.Played played = new ReleasePlay(kind, 40, 4, seed * 7_000_003 + i, text -> { }).without(without).play();
+            if (!played.broken().isEmpty() || !kind.good && played.end() == ReleasePlay.End.DONE) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
     private One one(long ofSeed) {
         Random random = new Random(new Random(ofSeed).nextLong() ^ ofSeed * 0x9E3779B97F4A7C15L);
         ReleasePlay.Kind kind = ReleasePlay.Kind.values()[random.nextInt(ReleasePlay.Kind.values().length)];
