Plan how much goes where in common, by leases of capacity that the book checks

Nodes that decide alone break places in small fleets and leave their zone; each keeping near fails with its place. Change: lupinwood.failover (planner, health, places; no I/O), plans in the book: one fits only if no place could be sent more than it bears by any live plan or standing right; retired by whoever leads once no lease on it can last. Not yet tied to the node. What did not help: needs by what is in hand (swings), plans each 0.75 s (never settled).

--- a/src/main/java/lupinwood/council/DeedText.java
+++ b/src/main/java/lupinwood/council/DeedText.java
@@ -21,7 +21,7 @@
         for (Class<? extends Deed> kind : List.of(Deed.Found.class, Deed.Join.class, Deed.Leave.class, Deed.Forget.class,
                 Deed.Give.class, Deed.Free.class, Deed.Keep.class, Deed.Allow.class, Deed.Back.class, Deed.Halt.class,
                 Deed.Begin.class, Deed.Step.class, Deed.Turn.class, Deed.Finish.class,
-                Deed.LetRest.class, Deed.EndRest.class)) {
+                Deed.LetRest.class, Deed.EndRest.class, Deed.SetPlan.class, Deed.Retire.class)) {
             KINDS.put(kind.getSimpleName(), kind);
         }
     }
--- a/src/main/java/lupinwood/council/Fleet.java
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -403,8 +403,8 @@
         }
         Moment now = loop.now();
         session.leavesOut(self.leftOut().get());
-        session.reports(new Report(PROGRAM, texts.runs(), texts.checked(), self.emptied().get(),
-                self.tally().get()));
+        session.reports(new Report(PROGRAM, texts.runs(), texts.checked(), self.emptied().get(), 0,
+                List.of(), self.tally().get()));
         Session.Sent sent = session.beat(leaving ? Condition.LEAVING : self.condition().get(), now);
         if (sent != null) {
             say(sent);
--- /dev/null
+++ b/src/main/java/lupinwood/failover/Planner.java
@@ -0,0 +1,354 @@
+package lupinwood.failover;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import lupinwood.fleet.Book;
+import lupinwood.fleet.Deed;
+import lupinwood.fleet.Life;
+import lupinwood.fleet.NodeName;
+import lupinwood.fleet.Plan;
+import lupinwood.fleet.Report;
+import lupinwood.fleet.Seen;
+import lupinwood.fleet.Site;
+import lupinwood.fleet.Standing;
+import lupinwood.fleet.Token;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+
+/**
+ * Makes plans for whoever holds the duty. What a zone needs goes near first, then into the region, then elsewhere, each
+ * place to no more than it is trusted with; what is left of a place belongs to its own zone, but for a part kept free, so that
+ * others can be helped at once. A plan that takes and gives at once wouldn't fit while nodes may go by the one before: then
+ * what is taken is taken first, and given once that plan is retired.
+ */
+public final class Planner {
+    /** What came of one life of a node when it was looked at last. */
+    private record Asked(Life life, long asked, double seconds, long well, Moment at) {}
+
+    /** Of what is needed on the mean, since tickets come unevenly and nodes have whole slots. */
+    private static final double ROOM = 1.35;
+    private static final double LEARNS = 0.3;
+    private static final int ENOUGH = 20;
+    /** Of what a place has left, that much stays free. */
+    private static final double FREE = 0.3;
+    /** Nothing is planned anew for less than this part of a place. */
+    private static final double WORTH = 0.1;
+    /** Who has less than so many times what it has in hand now lacks some. */
+    private static final double SCARCE = 1.1;
+    /** Looks between two plans for no other cause than that it would be tidier. */
+    private static final double TIDIES_EVERY = 8;
+
+    private final Health health;
+    private final Span every;
+    private final Map<String, Double> needs = new TreeMap<>();
+    private final Map<String, Double> rates = new TreeMap<>();
+    private final Map<NodeName, Asked> asked = new HashMap<>();
+    /** Seconds that a ticket of a site takes, with its way there: so more are needed in hand where they go far. */
+    private final Map<String, Double> takes = new TreeMap<>();
+    /** What is to be given once what it takes has been given back; null for nothing. */
+    private Map<String, Map<String, Integer>> pending;
+    private Moment lastLook;
+    private Moment plannedAt;
+    private Map<String, Double> trustedThen = Map.of();
+    private String why = "";
+
+    public Planner(Span lease) {
+        health = new Health(lease);
+        every = lease.times(0.5);
+    }
+
+    /**
+     * What the planner goes by.
+     *
+     * @param members of the book: a plan counts them all, also those that are out
+     * @param live all plans that may be gone by still
+     */
+    public record View(List<Place> places, Collection<Book.Member> members, List<Seen> seen, List<Plan> live, long lastPlan) {}
+
+    /** Why it planned last what it did, in one line. */
+    public String why() {
+        return why;
+    }
+
+    /** The next plan, or null where the one there is does. */
+    public Deed.SetPlan decide(View view, Token token, Moment now) {
+        if (view.places().isEmpty() || view.members().isEmpty()
+                || lastLook != null && now.since(lastLook).compareTo(every) < 0) {
+            return null;
+        }
+        lastLook = now;
+        boolean settled = view.live().size() < 2; // else what was planned last has yet to be heard everywhere
+        TreeSet<String> names = new TreeSet<>();
+        view.places().forEach(place -> names.add(place.name()));
+        health.look(view.seen(), names, now);
+        Map<String, Site> sites = new TreeMap<>();
+        Map<String, Integer> counts = new TreeMap<>();
+        for (Book.Member member : view.members()) {
+            sites.put(member.site().toString(), member.site());
+            counts.merge(member.site().toString(), 1, Integer::sum);
+        }
+        need(view, counts, now);
+        if (!settled) {
+            return null;
+        }
+        Map<String, Map<String, Integer>> target = whole(allot(view.places(), sites, counts));
+        Map<String, Integer> bears = new TreeMap<>();
+        Map<String, Map<String, Integer>> alone = new TreeMap<>();
+        for (Place place : view.places()) {
+            bears.put(place.name(), place.bears());
+            sites.forEach((name, site) -> alone.computeIfAbsent(name, none -> new TreeMap<>()).put(place.name(), place.alone(site)));
+        }
+        Plan newest = view.live().isEmpty() ? null : view.live().get(view.live().size() - 1);
+        boolean sameRoster = newest != null && roster(view.members()).equals(newest.roster());
+        Map<String, Map<String, Integer>> current = newest == null ? Map.of() : newest.slots();
+        if (sameRoster && pending == null && does(target, current, view, now)) {
+            return null;
+        }
+        if (pending != null && sameRoster && trusted(view).equals(trustedThen)) {
+            target = pending; // else what is asked for would move on while what it takes is given back
+        }
+        Map<String, Map<String, Integer>> next = fits(view, target, bears, alone) ? target : least(target, view);
+        if (sameRoster && next.equals(current) || !fits(view, next, bears, alone)) {
+            pending = null; // as when a place bears less than before
+            return null;
+        }
+        why = changes(current, next);
+        pending = next.equals(target) ? null : target;
+        plannedAt = now;
+        trustedThen = trusted(view);
+        return new Deed.SetPlan(token, view.lastPlan(), bears, alone, next, why, 0);
+    }
+
+    private static Map<String, String> roster(Collection<Book.Member> members) {
+        Map<String, String> roster = new TreeMap<>();
+        members.forEach(member -> roster.put(member.name().text(), member.site().toString()));
+        return roster;
+    }
+
+    /**
+     * How many tickets at once each site would like to have below: how many come in a second, times how long one of
+     * its own takes. What is out or waits would tell of what it was given, and not of what it needs.
+     */
+    private void need(View view, Map<String, Integer> counts, Moment now) {
+        Map<String, double[]> took = new TreeMap<>();
+        Map<String, Double> came = new TreeMap<>();
+        for (Seen one : view.seen()) {
+            if (one.report() == null || one.standing() == Standing.OUT || one.standing() == Standing.UNKNOWN) {
+                asked.remove(one.name());
+                continue;
+            }
+            long most = 0;
+            double seconds = 0;
+            long well = 0;
+            for (Report.Use use : one.report().uses()) {
+                most = Math.max(most, use.asked());
+                seconds += use.seconds();
+                well += use.ended() - use.failed();
+            }
+            Asked last = asked.put(one.name(), new Asked(one.life(), most, seconds, well, now));
+            if (last != null && last.life().equals(one.life()) && now.since(last.at()).isPositive()) {
+                came.merge(one.site().toString(), (most - last.asked()) / now.since(last.at()).seconds(), Double::sum);
+                double[] sums = took.computeIfAbsent(one.site().toString(), none -> new double[2]);
+                sums[0] += seconds - last.seconds();
+                sums[1] += well - last.well();
+            }
+        }
+        took.forEach((site, sums) -> {
+            if (sums[1] > ENOUGH) {
+                takes.merge(site, sums[0] / sums[1], (old, latest) -> old + (latest - old) * LEARNS);
+            }
+        });
+        double usual = takes.values().stream().mapToDouble(one -> one).average().orElse(0);
+        counts.forEach((site, count) -> {
+            double latest = came.getOrDefault(site, -1.0);
+            if (latest >= 0) {
+                rates.merge(site, latest, (old, more) -> old + (more - old) * LEARNS);
+            }
+            needs.put(site, Math.max(count, rates.getOrDefault(site, 0.0)
+                    * takes.getOrDefault(site, usual) * ROOM));
+        });
+        needs.keySet().retainAll(counts.keySet());
+        rates.keySet().retainAll(counts.keySet());
+        takes.keySet().retainAll(counts.keySet());
+    }
+
+    /** Slots by site and place, before they are parted among nodes. */
+    private Map<String, Map<String, Double>> allot(List<Place> places, Map<String, Site> sites, Map<String, Integer> counts) {
+        Map<String, Double> left = new HashMap<>();
+        for (Place place : places) {
+            // Standing rights of all nodes come first, and are part of what each gets.
+            left.put(place.name(), Math.max(0, place.bears() * health.trust(place.name())));
+        }
+        Map<String, Map<String, Double>> given = new TreeMap<>();
+        Map<String, Double> open = new TreeMap<>(needs);
+        sites.forEach((name, site) -> given.put(name, new TreeMap<>()));
+        for (Place place : places) {
+            sites.forEach((name, site) -> {
+                double standing = (double) place.alone(site) * counts.get(name);
+                given.get(name).put(place.name(), standing);
+                left.merge(place.name(), -standing, Double::sum);
+                if (health.trust(place.name()) > 0) {
+                    open.merge(name, -standing, Double::sum);
+                }
+            });
+        }
+        for (int distance = 0; distance <= 2; distance++) {
+            spread(places, sites, distance, open, left, given);
+        }
+        for (Place place : places) {
+            double spare = left.get(place.name()) * (1 - FREE);
+            String own = place.site().toString();
+            if (spare > 0 && given.containsKey(own)) {
+                given.get(own).merge(place.name(), spare, Double::sum);
+            }
+        }
+        return given;
+    }
+
+    /** What is open still goes to places so far away: each place's room is parted by need, each need by room. */
+    private static void spread(List<Place> places, Map<String, Site> sites, int distance, Map<String, Double> open,
+            Map<String, Double> left, Map<String, Map<String, Double>> given) {
+        for (int round = 0; round < 4; round++) {
+            Map<String, Double> asked = new HashMap<>();
+            Map<String, Map<String, Double>> asks = new TreeMap<>();
+            sites.forEach((name, site) -> {
+                double room = 0;
+                List<Place> there = new ArrayList<>();
+                for (Place place : places) {
+                    if (place.distance(site) == distance && place.mayReach(site) && left.get(place.name()) > 0) {
+                        room += left.get(place.name());
+                        there.add(place);
+                    }
+                }
+                for (Place place : there) {
+                    double part = Math.max(0, open.getOrDefault(name, 0.0)) * left.get(place.name()) / room;
+                    asks.computeIfAbsent(name, none -> new TreeMap<>()).put(place.name(), part);
+                    asked.merge(place.name(), part, Double::sum);
+                }
+            });
+            asks.forEach((name, parts) -> parts.forEach((place, part) -> {
+                double all = asked.get(place);
+                double may = all <= left.get(place) ? part : part * left.get(place) / all;
+                given.get(name).merge(place, may, Double::sum);
+                open.merge(name, -may, Double::sum);
+            }));
+            asked.forEach((place, all) -> left.merge(place, -Math.min(all, left.get(place)), Double::sum));
+        }
+    }
+
+    /** Whole slots; what the rounding leaves is free. */
+    private static Map<String, Map<String, Integer>> whole(Map<String, Map<String, Double>> given) {
+        Map<String, Map<String, Integer>> slots = new TreeMap<>();
+        given.forEach((site, parts) -> {
+            Map<String, Integer> own = new TreeMap<>();
+            parts.forEach((place, part) -> {
+                if (part >= 1) {
+                    own.put(place, (int) Math.floor(part + 1e-9));
+                }
+            });
+            slots.put(site, own);
+        });
+        return slots;
+    }
+
+    /** Whether the plan there is does: nobody lacks much, no place's trust has changed, and little would move. */
+    private boolean does(Map<String, Map<String, Integer>> target, Map<String, Map<String, Integer>> current, View view,
+            Moment now) {
+        if (!trusted(view).equals(trustedThen)) {
+            return false;
+        }
+        for (Map.Entry<String, Double> need : needs.entrySet()) {
+            double has = has(current, need.getKey());
+            if (has < need.getValue() / ROOM * SCARCE && has(target, need.getKey()) > has * 1.1) {
+                return false;
+            }
+        }
+        boolean late = plannedAt == null || now.since(plannedAt).compareTo(every.times(TIDIES_EVERY)) >= 0;
+        return !late || isNear(target, current, view.places());
+    }
+
+    private Map<String, Double> trusted(View view) {
+        Map<String, Double> trusted = new TreeMap<>();
+        view.places().forEach(place -> trusted.put(place.name(), health.trust(place.name())));
+        return trusted;
+    }
+
+    /** What a site has at places that are trusted. */
+    private double has(Map<String, Map<String, Integer>> slots, String site) {
+        return slots.getOrDefault(site, Map.of()).entrySet().stream().filter(one -> health.trust(one.getKey()) > 0)
+                .mapToInt(Map.Entry::getValue).sum();
+    }
+
+    private static boolean isNear(Map<String, Map<String, Integer>> target, Map<String, Map<String, Integer>> current,
+            List<Place> places) {
+        for (Place place : places) {
+            double moved = 0;
+            for (String site : target.keySet()) {
+                int next = target.getOrDefault(site, Map.of()).getOrDefault(place.name(), 0);
+                int now = current.getOrDefault(site, Map.of()).getOrDefault(place.name(), 0);
+                moved += Math.abs(next - now);
+            }
+            if (moved > Math.max(1, place.bears() * WORTH)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean fits(View view, Map<String, Map<String, Integer>> slots, Map<String, Integer> bears,
+            Map<String, Map<String, Integer>> alone) {
+        List<Plan> all = new ArrayList<>(view.live());
+        all.add(new Plan(view.lastPlan() + 1, roster(view.members()), slots));
+        return Plan.overfull(all, bears, alone) == null;
+    }
+
+    /** What is taken now: nobody gets more than by any live plan, and nobody more than wanted. */
+    private static Map<String, Map<String, Integer>> least(Map<String, Map<String, Integer>> target, View view) {
+        Map<String, Map<String, Integer>> least = new TreeMap<>();
+        target.forEach((site, parts) -> {
+            Map<String, Integer> own = new TreeMap<>();
+            parts.forEach((place, wanted) -> {
+                int may = wanted;
+                for (Plan plan : view.live()) {
+                    may = Math.min(may, plan.slots().getOrDefault(site, Map.of()).getOrDefault(place, 0));
+                }
+                if (may > 0) {
+                    own.put(place, may);
+                }
+            });
+            least.put(site, own);
+        });
+        return least;
+    }
+
+    private String changes(Map<String, Map<String, Integer>> current, Map<String, Map<String, Integer>> next) {
+        List<String> all = new ArrayList<>();
+        next.forEach((site, parts) -> {
+            TreeSet<String> places = new TreeSet<>(parts.keySet());
+            places.addAll(current.getOrDefault(site, Map.of()).keySet());
+            for (String place : places) {
+                int was = current.getOrDefault(site, Map.of()).getOrDefault(place, 0);
+                int is = parts.getOrDefault(place, 0);
+                if (was != is) {
+                    all.add(site + " at " + place + " " + was + " -> " + is);
+                }
+            }
+        });
+        all.sort(Comparator.comparing(one -> one));
+        String trusts = "";
+        for (String place : new TreeSet<>(next.values().stream().flatMap(parts -> parts.keySet().stream()).toList())) {
+            if (health.trust(place) < 1) {
+                trusts += ", " + place + " is trusted with " + Math.round(health.trust(place) * 100) + "%";
+            }
+        }
+        int more = all.size() - 6;
+        return String.join(", ", all.subList(0, Math.min(6, all.size()))) + (more > 0 ? " and " + more + " more" : "") + trusts
+                + (health.unheard().isEmpty() ? "" : ", not heeded, since they suffer themselves: " + health.unheard());
+    }
+}
--- a/src/main/java/lupinwood/fleet/Book.java
+++ b/src/main/java/lupinwood/fleet/Book.java
@@ -46,7 +46,7 @@
     /** The whole book, as it is kept and sent. */
     public record Page(List<Member> members, List<Held> duties, long lastToken, String digest, long deeds,
             List<Permit> permits, long lastPermit, String haltedBy, List<Done> done, List<Entry> history, Releases.Page releases,
-            List<Rest> rests) {}
+            List<Rest> rests, Plans.Page plans) {}
 
     private static final int MOST_DUTIES = 64;
     private static final int MOST_PERMITS = 1024;
@@ -58,6 +58,7 @@
     private final TreeMap<DutyName, Held> duties = new TreeMap<>();
     private final TreeMap<Long, Permit> permits = new TreeMap<>();
     private final Releases releases = new Releases();
+    private final Plans plans = new Plans();
     private final TreeMap<String, Rest> rests = new TreeMap<>();
     private final ArrayDeque<Done> done = new ArrayDeque<>();
     private final ArrayDeque<Entry> history = new ArrayDeque<>();
@@ -90,6 +91,7 @@
         history.clear();
         history.addAll(page.history());
         releases.open(page.releases());
+        plans.open(page.plans());
         rests.clear();
         if (page.rests() != null) { // null in the page of an older version
             page.rests().forEach(rest -> rests.put(rest.server(), rest));
@@ -99,7 +101,7 @@
     public Page page() {
         return new Page(new ArrayList<>(members.values()), new ArrayList<>(duties.values()), lastToken, digest, deeds,
                 new ArrayList<>(permits.values()), lastPermit, haltedBy, new ArrayList<>(done), new ArrayList<>(history),
-                releases.page(), new ArrayList<>(rests.values()));
+                releases.page(), new ArrayList<>(rests.values()), plans.page());
     }
 
     /** Whether the deed fitted and was done; one that no longer fits changes nothing. */
@@ -122,6 +124,7 @@
                 return false;
             }
             permits.values().removeIf(permit -> permit.node().equals(forget.name()));
+            plans.forget(forget.name());
             return true;
         }
         if (deed instanceof Deed.Give give) {
@@ -163,6 +166,16 @@
         if (deed instanceof Deed.Begin begin) {
             return begin(begin);
         }
+        if (deed instanceof Deed.SetPlan plan) {
+            boolean fits = isUnder(DutyName.PLANNER, plan.token()) && plans.plan(plan, members.values());
+            if (fits && !plan.why().isEmpty()) {
+                write(plan.atMillis(), "plan " + plans.last() + ": " + plan.why());
+            }
+            return fits;
+        }
+        if (deed instanceof Deed.Retire retire) {
+            return plans.retire(retire.below());
+        }
         if (deed instanceof Deed.LetRest let) {
             if (answer(let.order()) != null) {
                 return true;
@@ -265,6 +278,21 @@
                 : rests.size() >= most ? rests.keySet() + " rest, and no more than " + most + " may" : "";
     }
 
+    /** The newest plan; null before the first. */
+    public Plan plan() {
+        return plans.newest();
+    }
+
+    /** All plans that some node may still go by, the oldest first. */
+    public List<Plan> livePlans() {
+        return Collections.unmodifiableList(plans.live());
+    }
+
+    /** The number of the newest plan. */
+    public long lastPlan() {
+        return plans.last();
+    }
+
     /** The servers that rest. */
     public Collection<Rest> rests() {
         return Collections.unmodifiableCollection(rests.values());
--- a/src/main/java/lupinwood/fleet/Deed.java
+++ b/src/main/java/lupinwood/fleet/Deed.java
@@ -81,6 +81,21 @@
     /** It rests no more. */
     record EndRest(String order, String server, String by, long atMillis) implements Deed {}
 
+    /**
+     * How much each node may send where, under the planner's token. Fits only where no place could be sent more than it bears
+     * by all that any node may still believe.
+     *
+     * @param after the number of the plan before, so that one made twice is made once
+     * @param bears how many tickets at once each place can bear
+     * @param alone what a node of a site may have at a place without a plan
+     * @param slots what all nodes of a site together may have at a place
+     */
+    record SetPlan(Token token, long after, Map<String, Integer> bears, Map<String, Map<String, Integer>> alone,
+            Map<String, Map<String, Integer>> slots, String why, long atMillis) implements Deed {}
+
+    /** No node goes by a plan under this number any more: told by whoever leads the council, who knows of all leases. */
+    record Retire(long below) implements Deed {}
+
     /** Why a duty was taken from its holder. */
     enum Why { LAPSED, HANDED_ON, FAILED, WENT }
 }
--- a/src/main/java/lupinwood/fleet/DutyName.java
+++ b/src/main/java/lupinwood/fleet/DutyName.java
@@ -7,6 +7,8 @@
     /** Gathers the fleet's picture and tells it outside. */
     public static final DutyName KEEPER = new DutyName("keeper");
 
+    /** Plans how much goes from where to where. */
+    public static final DutyName PLANNER = new DutyName("planner");
     /** Leads releases. */
     public static final DutyName CONDUCTOR = new DutyName("conductor");
 
--- a/src/main/java/lupinwood/fleet/Reply.java
+++ b/src/main/java/lupinwood/fleet/Reply.java
@@ -1,6 +1,7 @@
 package lupinwood.fleet;
 
 import java.util.List;
+import java.util.Map;
 import lupinwood.node.Span;
 
 /**
@@ -15,10 +16,18 @@
  * @param found what the holder of the duty trial found lately
  * @param leave the permit under which the node is to go; zero where it is to stay
  * @param wanted what the node is to run; null of an older version
+ * @param share what the node may send where, for a lease from before its beat; null without a plan
  * @param others how many nodes the council heard lately
  */
 public record Reply(long number, boolean taken, NodeName leader, String trouble, Span lease, List<Grant> grants,
-        List<Finding> found, long leave, Wanted wanted, int others) {
+        List<Finding> found, long leave, Wanted wanted, Share share, int others) {
+    /**
+     * A node's part of a plan.
+     *
+     * @param slots how many tickets at once it may have at a place
+     */
+    public record Share(long plan, Map<String, Integer> slots) {}
+
     /**
      * What a node is to run.
      *
@@ -34,6 +43,6 @@
     }
 
     static Reply notTaken(long number, NodeName leader) {
-        return new Reply(number, false, leader, "", Span.ZERO, List.of(), List.of(), 0, null, 0);
+        return new Reply(number, false, leader, "", Span.ZERO, List.of(), List.of(), 0, null, null, 0);
     }
 }
--- a/src/main/java/lupinwood/fleet/Steward.java
+++ b/src/main/java/lupinwood/fleet/Steward.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,9 @@
         }
     }
 
+    /** One life of a node. */
+    private record Of(NodeName name, Life life) {}
+
     private record Shunned(int times, Moment until) {}
 
     private static final Comparator<Moment> EARLIER = Comparator.naturalOrder();
@@ -56,6 +60,8 @@
     private final Set<Grant> takenBack = new HashSet<>();
     /** Since when a node with a permit is seen to be here still. */
     private final Map<Long, Moment> toldToGo = new HashMap<>();
+    /** Until when a life may go by which plan, for all that were told. */
+    private final Map<Of, TreeMap<Long, Moment>> told = new HashMap<>();
     private Moment leadsSince;
     /** Whether some node runs another text than it is to. */
     private boolean lags;
@@ -72,6 +78,7 @@
         lapses.clear();
         takenBack.clear();
         toldToGo.clear();
+        told.clear();
         findings.clear();
         foundAt.clear();
         book.duties().stream().filter(held -> !held.isFree())
@@ -157,6 +164,7 @@
         lags = heard.values().stream().anyMatch(one -> isFresh(one, now) && one.beat.report() != null
                 && !book.wanted(one.beat.name()).runs().equals(one.beat.report().runs()));
         permits(book, now, deeds);
+        plans(book, now, deeds);
         for (DutyName duty : duties) {
             Book.Held held = book.duty(duty);
             if (held.isFree()) {
@@ -312,7 +320,45 @@
         long leave = trouble.isEmpty() ? book.permits().stream().filter(permit -> permit.node().equals(beat.name())
                 && permit.life().equals(beat.life())).mapToLong(Permit::number).findFirst().orElse(0) : 0;
         return new Reply(beat.number(), true, self, trouble, rules.lease(), grants, told, leave,
-                book.wanted(beat.name()).busyOr(lags), others);
+                book.wanted(beat.name()).busyOr(lags), trouble.isEmpty() ? share(beat, book, now) : null, others);
+    }
+
+    /** A node's part of the newest plan, which it may go by until a lease after it asked; so here it counts until later. */
+    private Reply.Share share(Beat beat, Book book, Moment now) {
+        Plan plan = book.plan();
+        if (plan == null) {
+            return null;
+        }
+        told.computeIfAbsent(new Of(beat.name(), beat.life()), none -> new TreeMap<>())
+                .put(plan.number(), now.plus(rules.lapsesAfter()));
+        return new Reply.Share(plan.number(), plan.of(beat.name()));
+    }
+
+    /**
+     * Older plans are retired once nobody can go by them any more: each life that was told of one has said that it goes by a
+     * newer, or its lease has run out. A new leader can't know what was told before it, so it waits for a lease first.
+     */
+    private void plans(Book book, Moment now, List<Deed> deeds) {
+        Plan newest = book.plan();
+        if (newest == null || book.livePlans().size() < 2 || now.since(leadsSince).compareTo(rules.lapsesAfter()) < 0) {
+            return;
+        }
+        long oldest = newest.number();
+        for (Iterator<Map.Entry<Of, TreeMap<Long, Moment>>> all = told.entrySet().iterator(); all.hasNext();) {
+            Map.Entry<Of, TreeMap<Long, Moment>> one = all.next();
+            Heard latest = heard.get(one.getKey().name());
+            boolean same = latest != null && latest.beat.life().equals(one.getKey().life()) && latest.beat.report() != null;
+            long acknowledged = same ? latest.beat.report().plan() : 0;
+            one.getValue().entrySet().removeIf(plan -> !now.isBefore(plan.getValue()) || plan.getKey() < acknowledged);
+            if (one.getValue().isEmpty()) {
+                all.remove();
+            } else {
+                oldest = Math.min(oldest, one.getValue().firstKey());
+            }
+        }
+        if (oldest > book.livePlans().get(0).number()) {
+            deeds.add(new Deed.Retire(oldest));
+        }
     }
 
     /** What a voter that doesn't lead says. */
--- a/src/main/java/lupinwood/lab/Experiments.java
+++ b/src/main/java/lupinwood/lab/Experiments.java
@@ -6,7 +6,7 @@
 /** The runs by their names. */
 public final class Experiments {
     public static final String NAMES = "tour, reload-storm, config-cost, pools, mixed-fronts, duties-time, duties, duties-no-token, duties-late, duties-no-early-stop, duties-calm,"
-            + " fleet-cost, trials, fleet-tour, hand-overs, fleet-on-off, permits, release, releases-time, release-tour, release-ways, rest";
+            + " fleet-cost, trials, fleet-tour, hand-overs, fleet-on-off, permits, release, releases-time, release-tour, release-ways, rest, failover-time";
 
     private Experiments() {}
 
@@ -43,6 +43,7 @@
             case "rest" -> new RestRun(seed, size > 0 ? size : 4, log);
             case "release-tour" -> new ReleaseTour(seed, out);
             case "release-ways" -> new ReleaseWays(seed, size > 0 ? size : 300, plot);
+            case "failover-time" -> new FailoverInTime(seed, size > 0 ? size : 12);
             case "releases-time" -> new ReleasesInTime(seed, size > 0 ? size : 200, out);
             case "permits" -> new PermitsRun(seed, seconds > 0 ? seconds : 60, log);
             default -> null;
--- a/src/main/java/lupinwood/lab/ProcessFleet.java
+++ b/src/main/java/lupinwood/lab/ProcessFleet.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import lupinwood.council.Council;
@@ -182,6 +183,9 @@
         }
     }
 
+    private static final int FIRST_PORT = 10_000;
+    private static final int PORTS = 20_000;
+    private static final AtomicInteger NEXT_PORT = new AtomicInteger((int) (ProcessHandle.current().pid() * 131));
     static final int ZONES = 3;
     private static final String NODE = """
             name %s
@@ -262,10 +266,20 @@
         }
     }
 
+    /**
+     * One that no outgoing connection is given by the system: a node binds it some time later, and may be started anew. By
+     * another number in each process, since several labs may run at once.
+     */
     static int freePort() throws IOException {
-        try (Door free = new Door(0, StandIns::mute)) {
-            return free.port();
+        for (int tries = 0; tries < PORTS; tries++) {
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+            try (Door free = new Door(port, StandIns::mute)) {
+                return free.port();
+            } catch (IOException e) {
+                // In use; the next one may be free.
+            }
         }
+        throw new IOException("no port is free from " + FIRST_PORT + " on");
     }
 
     private void load(int every) {
--- a/src/main/java/lupinwood/lab/ReleasePlay.java
+++ b/src/main/java/lupinwood/lab/ReleasePlay.java
@@ -180,7 +180,7 @@
             Report.Checked says = kind.byRestarts() && !wanted.equals(runs) ? new Report.Checked(wanted, true, true, "")
                     : !checked ? null : new Report.Checked(NEW, !refuses(), kind.byRestarts(), refuses() ? "no" : "");
             return new Beat(Beat.VERSION, name, new Life(life), site, condition(), ++beats, List.of(), List.of(), List.of(),
-                    List.of(), List.of(), new Report("1", runs, says, List.of(), new Tally(told)));
+                    List.of(), List.of(), new Report("1", runs, says, List.of(), 0, List.of(), new Tally(told)));
         }
 
         private boolean refuses() {
--- a/src/test/java/lupinwood/fleet/StewardTest.java
+++ b/src/test/java/lupinwood/fleet/StewardTest.java
@@ -135,13 +135,13 @@
         Holding holding = new Holding(RULES);
         holding.asks(1, at(10));
         Reply reply = new Reply(1, true, SELF, "", RULES.lease(), List.of(new Grant(DutyName.TRIAL, new Token(7))),
-                List.of(), 0, null, 1);
+                List.of(), 0, null, null, 1);
         holding.told(reply, at(11.5));
         assertThat(holding.mayAct(DutyName.TRIAL, at(12.93))).isEqualTo(new Token(7));
         assertThat(holding.mayAct(DutyName.TRIAL, at(12.95))).as("3 s less the drift, from 10 s on").isNull();
         holding.asks(2, at(13));
         assertThat(holding.giveUp(DutyName.TRIAL).token().number()).isEqualTo(7);
-        holding.told(new Reply(2, true, SELF, "", RULES.lease(), reply.grants(), List.of(), 0, null, 1), at(13.1));
+        holding.told(new Reply(2, true, SELF, "", RULES.lease(), reply.grants(), List.of(), 0, null, null, 1), at(13.1));
         assertThat(holding.mayAct(DutyName.TRIAL, at(13.2))).as("given up for good under this token").isNull();
     }
 }
--- a/src/test/java/lupinwood/release/ConductorTest.java
+++ b/src/test/java/lupinwood/release/ConductorTest.java
@@ -54,7 +54,7 @@
             Report.Checked checked = new Report.Checked("new", !refuses[i], false, refuses[i] ? "no such track" : "");
             Tally tally = new Tally(List.of(new Tally.Count("look", counts[i][0], 0, 0, counts[i][1], counts[i][0] * 0.05)));
             seen.add(new Seen(name(i), new Life(i), new Site("r", "z" + i % 3), there[i] ? Standing.WARM : Standing.UNKNOWN,
-                    Span.ZERO, new Report("1", runs[i], checked, List.of(), tally)));
+                    Span.ZERO, new Report("1", runs[i], checked, List.of(), 0, List.of(), tally)));
         }
         return new Picture(book.release(), book.good(), book.haltedBy(), seen, book.permits(), 3, book.past());
     }
