--- a/src/main/java/lupinwood/cli/FleetCommand.java
+++ b/src/main/java/lupinwood/cli/FleetCommand.java
@@ -8,7 +8,7 @@
 
 /** The command 'fleet'. Its work stands in a class of its own, so that other commands load nothing of it. */
 @Parameters(commandDescription = "Ask the fleet's council: status; leave NODE; halt; resume; forget NODE;"
-        + " release FILE, or release --program VERSION; back; wanted NODE;"
+        + " release FILE, or release --program VERSION; back; wanted NODE; plan;"
         + " rest SERVER; unrest SERVER. Exits with 0 when"
         + " it is done, with 1 when nobody leads, with 2 when it can't be asked, with 3 when it may not be now")
 final class FleetCommand implements Command {
@@ -33,6 +33,9 @@
     @Parameter(names = "--program", description = "With release: the version of the program that nodes are started with")
     private String program;
 
+    @Parameter(names = "--explain", description = "With plan: what concerns this zone only")
+    private String explain;
+
     @Parameter(names = "--back-on-halt", description = "With release: go back by itself when the watch fails")
     private boolean backsOnHalt;
 
@@ -45,6 +48,6 @@
 
     @Override
     public int run() {
-        return new FleetWork(operator, json, within, history).run(words, new FleetWork.Asked(by, order, waits, program, backsOnHalt));
+        return new FleetWork(operator, json, within, history).run(words, new FleetWork.Asked(by, order, waits, program, backsOnHalt, explain));
     }
 }
--- a/src/main/java/lupinwood/cli/FleetWork.java
+++ b/src/main/java/lupinwood/cli/FleetWork.java
@@ -22,6 +22,7 @@
 import lupinwood.council.FleetSettings;
 import lupinwood.council.Question;
 import lupinwood.fleet.NodeName;
+import lupinwood.fleet.Plan;
 import lupinwood.fleet.Release;
 import lupinwood.load.Common;
 import lupinwood.load.FileSources;
@@ -35,10 +36,11 @@
     private static final int LEADERLESS = 1;
     private static final int USAGE = 2;
     private static final int NOT_NOW = 3;
+    private static final int LAST_PLANS = 8;
     private static final int HALTED = 4;
     private static final int ENDED_OTHERWISE = 5;
     private static final Set<String> WITH_NODE = Set.of("leave", "forget", "wanted", "rest", "unrest");
-    private static final Set<String> ALONE = Set.of("status", "halt", "resume", "back");
+    private static final Set<String> ALONE = Set.of("status", "halt", "resume", "back", "plan");
     private static final long ASK_AGAIN_MILLIS = 500;
 
     private final String operator;
@@ -47,7 +49,7 @@
     private final boolean history;
 
     /** Who gives which order, and whether to wait until it is done. */
-    record Asked(String by, String order, boolean waits, String program, boolean backsOnHalt) {}
+    record Asked(String by, String order, boolean waits, String program, boolean backsOnHalt, String explain) {}
 
     FleetWork(String operator, boolean json, double within, boolean history) {
         this.history = history;
@@ -62,7 +64,7 @@
                 || words.get(0).equals("release") && words.size() == (asked.program() == null ? 2 : 1);
         if (!fits) {
             System.err.println("lupinwood: 'fleet' takes: status, leave NODE, halt, resume, forget NODE, release FILE,"
-                    + " release --program VERSION, back, wanted NODE, rest SERVER,"
+                    + " release --program VERSION, back, wanted NODE, plan, rest SERVER,"
                     + " unrest SERVER");
             return USAGE;
         }
@@ -80,6 +82,9 @@
         Log quiet = new Log(new PrintStream(new ByteArrayOutputStream()), Instant::now);
         LibraryLogs.sendTo(quiet);
         try {
+            if (words.get(0).equals("plan")) {
+                return plan(settings, asked.explain(), quiet);
+            }
             if (words.get(0).equals("wanted")) {
                 return wanted(settings, words.get(1), quiet);
             }
@@ -147,6 +152,33 @@
         return new Council.Wish(Release.Kind.CONFIGURATION, Common.read(text).digest(), text, asked.backsOnHalt());
     }
 
+    /** How much goes where by the newest plan, and why; of one zone only, where one is named. */
+    private int plan(FleetSettings settings, String zone, Log quiet) throws InterruptedException {
+        Council.State state = Question.state(settings.voters().values(), within, quiet, true);
+        if (state == null) {
+            System.err.println("lupinwood: nobody leads the council, so it can't be told; nodes go by their last plan for a lease");
+            return LEADERLESS;
+        }
+        if (state.plans().isEmpty()) {
+            System.out.println("there is no plan: no server says what it bears, or nobody plans yet");
+            return 0;
+        }
+        Plan newest = state.plans().get(state.plans().size() - 1);
+        System.out.println("plan " + newest.number() + " for " + newest.roster().size() + " nodes" + (state.plans().size() > 1
+                ? "; some may go by plan " + state.plans().get(0).number() + " still" : ""));
+        newest.slots().forEach((site, slots) -> {
+            if (zone == null || site.equals(zone) || site.endsWith("/" + zone)) {
+                long nodes = newest.roster().values().stream().filter(site::equals).count();
+                System.out.println(String.format("zone %-14s %3d nodes: %s", site, nodes, slots));
+            }
+        });
+        state.history().stream().filter(one -> one.text().startsWith("plan ") && (zone == null || one.text().contains(zone)))
+                .skip(Math.max(0, state.history().stream().filter(one -> one.text().startsWith("plan ")
+                        && (zone == null || one.text().contains(zone))).count() - LAST_PLANS))
+                .forEach(one -> System.out.println(Instant.ofEpochMilli(one.atMillis()) + " " + one.text()));
+        return 0;
+    }
+
     /** For a supervisor: the program and the text that a node is to be started with. */
     private int wanted(FleetSettings settings, String node, Log quiet) throws InterruptedException {
         Question.Wanted wanted = Question.wanted(settings.voters().values(), new NodeName(node), within, quiet);
--- a/src/main/java/lupinwood/council/Council.java
+++ b/src/main/java/lupinwood/council/Council.java
@@ -37,6 +37,7 @@
 import lupinwood.fleet.NodeName;
 import lupinwood.fleet.OutRules;
 import lupinwood.fleet.Permit;
+import lupinwood.fleet.Plan;
 import lupinwood.fleet.Release;
 import lupinwood.fleet.Reply;
 import lupinwood.fleet.Rest;
@@ -68,7 +69,8 @@
     /** What one voter says of the council. */
     public record State(NodeName self, NodeName leader, int term, List<Seen> seen, List<Book.Held> duties,
             String digest, long deeds, List<Permit> permits, String haltedBy, List<Book.Entry> history, Release release,
-            String good, List<Rest> rests, Map<String, Tally> past) {}
+            String good, List<Rest> rests, Map<String, Tally> past,
+            List<Book.Member> members, List<Plan> plans, long lastPlan) {}
 
     /**
      * What an operator asks for.
@@ -288,6 +290,8 @@
                         one.why(), one.past(), millis())
                 : deed instanceof Deed.Turn one ? new Deed.Turn(one.order(), one.release(), one.by(), millis())
                 : deed instanceof Deed.Finish one ? new Deed.Finish(one.token(), one.release(), one.done(), one.why(), millis())
+                : deed instanceof Deed.SetPlan one ? new Deed.SetPlan(one.token(), one.after(), one.bears(), one.alone(),
+                        one.slots(), one.why(), millis())
                 : deed instanceof Deed.Halt one ? new Deed.Halt(one.order(), one.halted(), one.by(), millis()) : deed;
     }
 
@@ -333,13 +337,19 @@
         return WallClock.now().toEpochMilli();
     }
 
-    /** @param withPast whether to tell how nodes did before the release, which is long */
-    public State state(boolean withPast) {
+    /**
+     * Some of it is long, and told where asked for only.
+     *
+     * @param withPast how nodes did before the release
+     * @param withPlans how much goes where
+     */
+    public State state(boolean withPast, boolean withPlans) {
         List<Seen> seen = leads() ? steward.picture(book, means.loop().now()) : List.of();
         return new State(self, leader(), raft.getTerm().getTerm(), seen, new ArrayList<>(book.duties()), book.digest(),
                 book.deeds(), new ArrayList<>(book.permits()), book.haltedBy(), book.history(), book.release(), book.good(),
                 new ArrayList<>(book.rests()),
-                withPast ? book.past() : null);
+                withPast ? book.past() : null,
+                withPlans ? new ArrayList<>(book.members()) : null, withPlans ? book.livePlans() : null, book.lastPlan());
     }
 
     /** Carries out an operator's order, once; null to the answer where another leads, or nobody does. */
--- a/src/main/java/lupinwood/council/Fleet.java
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import lupinwood.failover.Planner;
+import lupinwood.fleet.Allotment;
 import lupinwood.fleet.Beat;
 import lupinwood.fleet.Condition;
 import lupinwood.fleet.Deed;
@@ -45,7 +47,8 @@
  * node serves on.
  */
 public final class Fleet {
-    public static final List<DutyName> DUTIES = List.of(DutyName.KEEPER, DutyName.TRIAL, DutyName.CONDUCTOR);
+    public static final List<DutyName> DUTIES = List.of(DutyName.KEEPER, DutyName.TRIAL, DutyName.CONDUCTOR,
+            DutyName.PLANNER);
     private static final Gson GSON = new Gson();
     private static final String PROGRAM = Spoilt.program();
     private static final Span LOOK = Span.ofSeconds(0.02);
@@ -56,12 +59,13 @@
      * What this node says of itself.
      *
      * @param emptied servers that rest, and have nothing of this node
+     * @param uses what it does at places below
      * @param tally what it answered so far
      * @param hands checks and takes the fleet's text
      * @param leave has the node leave as by the notice; returns at once
      */
     public record Self(Supplier<Condition> condition, Supplier<List<String>> leftOut, Supplier<List<String>> emptied,
-            Supplier<Tally> tally,
+            Supplier<List<Report.Use>> uses, Supplier<Tally> tally,
             Supplier<Hands> hands, Runnable leave) {}
 
     private final FleetSettings settings;
@@ -88,6 +92,8 @@
     private TextWork texts;
     private Conductor conductor;
     private boolean releaseOpen;
+    private Planner planner;
+    private Token plansUnder;
     private List<String> restsAtStart = List.of();
     private boolean over;
 
@@ -287,7 +293,7 @@
                 loop.offer(() -> {
                     // Whoever says it, the book takes these under the conductor's token only; a halt harms nothing.
                     boolean conductors = deed instanceof Deed.Step || deed instanceof Deed.Finish || deed instanceof Deed.Halt
-                            || deed instanceof Deed.Turn;
+                            || deed instanceof Deed.Turn || deed instanceof Deed.SetPlan;
                     if (council != null && conductors) {
                         council.write(deed, done -> { });
                     }
@@ -310,6 +316,7 @@
                     keep(state);
                     if (leads) {
                         conduct(state);
+                        plan(state);
                     }
                 });
             }
@@ -391,7 +398,7 @@
         text.addProperty("leads", council != null && council.isLeading());
         text.addProperty("leader", council == null || council.leader() == null ? "" : council.leader().text());
         text.add("number", question.get("number"));
-        text.add("state", council == null ? new JsonObject() : GSON.toJsonTree(council.state(question.has("past"))));
+        text.add("state", council == null ? new JsonObject() : GSON.toJsonTree(council.state(question.has("past"), question.has("plans"))));
         return text;
     }
 
@@ -403,8 +410,8 @@
         }
         Moment now = loop.now();
         session.leavesOut(self.leftOut().get());
-        session.reports(new Report(PROGRAM, texts.runs(), texts.checked(), self.emptied().get(), 0,
-                List.of(), self.tally().get()));
+        session.reports(new Report(PROGRAM, texts.runs(), texts.checked(), self.emptied().get(),
+                session.allotment().plan(), self.uses().get(), self.tally().get()));
         Session.Sent sent = session.beat(leaving ? Condition.LEAVING : self.condition().get(), now);
         if (sent != null) {
             say(sent);
@@ -455,7 +462,8 @@
                 : new Moment(Long.MIN_VALUE);
         List<String> rests = latest == null || latest.wanted() == null || latest.wanted().rests() == null ? restsAtStart
                 : latest.wanted().rests();
-        view = new FleetView(touch, held, found, rests, latest == null ? null : latest.leader());
+        Allotment may = session.allotment();
+        view = new FleetView(touch, held, found, new FleetView.Share(may.plan(), may.slots(), may.until()), rests, latest == null ? null : latest.leader());
         Set<Grant> holds = new HashSet<>(session.holding().holds(now));
         List<Grant> news = new ArrayList<>(holds);
         news.removeAll(known);
@@ -478,13 +486,17 @@
         if (session.latest() != null && session.isInTouch(loop.now())) {
             texts.follow(session.latest().wanted());
         }
-        if (token != null || leads != null && releaseOpen) {
+        boolean plans = !settings.places().isEmpty() && session.holding().mayAct(DutyName.PLANNER, loop.now()) != null;
+        if (token != null || leads != null && releaseOpen || plans) {
             JsonObject ask = new JsonObject();
             ask.addProperty("k", "ask");
             ask.addProperty("number", 0);
             if (leads != null && conductor.wantsPast()) {
                 ask.addProperty("past", true);
             }
+            if (plans) {
+                ask.addProperty("plans", true);
+            }
             carriage.say(voters.get(session.talksTo()), ask);
         }
         loop.after(settings.rules().beatHolding().times(0.5), this::look);
@@ -541,6 +553,28 @@
         }
     }
 
+    /** The planner has the picture: the next plan, if there is to be one, under its token, to whoever leads. */
+    private void plan(JsonElement told) {
+        Token token = session.holding().mayAct(DutyName.PLANNER, loop.now());
+        if (token == null || !told.getAsJsonObject().has("plans")) {
+            return;
+        }
+        Council.State state = GSON.fromJson(told, Council.State.class);
+        if (!token.equals(plansUnder)) {
+            plansUnder = token;
+            planner = new Planner(settings.rules().lease());
+        }
+        Deed.SetPlan plan = planner.decide(new Planner.View(settings.places(), state.members(), state.seen(), state.plans(),
+                state.lastPlan()), token, loop.now());
+        if (plan != null) {
+            log.line("fleet: plans: " + planner.why());
+            JsonObject text = new JsonObject();
+            text.addProperty("k", "deed");
+            text.addProperty("d", DeedText.of(plan));
+            carriage.say(voters.get(session.talksTo()), text);
+        }
+    }
+
     private void keeperFails(String why) {
         log.line("fleet: can't keep the picture, hands the duty on: " + why);
         session.failAt(DutyName.KEEPER, loop.now());
--- a/src/main/java/lupinwood/council/FleetSettings.java
+++ b/src/main/java/lupinwood/council/FleetSettings.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import lupinwood.failover.Place;
 import lupinwood.fleet.NodeName;
 import lupinwood.fleet.OutRules;
 import lupinwood.fleet.Rules;
@@ -24,12 +25,13 @@
  * @param listen where this node listens for others; null unless it is a voter
  * @param folder where a voter keeps what it must not forget; null unless it is one
  * @param servers what servers below carry out, by their names
+ * @param places servers that are planned in common
  * @param mostResting so many of them may rest at once
  * @param report where the keeper tells the fleet's picture; null for nowhere
  */
 public record FleetSettings(NodeName name, Site site, Map<NodeName, InetSocketAddress> voters, InetSocketAddress listen,
         Path folder, InetSocketAddress report, Rules rules, OutRules outs, Limits limits,
-        Map<String, Set<String>> servers, int mostResting) {
+        Map<String, Set<String>> servers, int mostResting, List<Place> places) {
     private static final BigDecimal LEASE = new BigDecimal(3_000_000_000L);
     private static final BigDecimal WATCH = new BigDecimal(60_000_000_000L);
     private static final BigDecimal WATCH_MOST = new BigDecimal(900_000_000_000L);
@@ -56,7 +58,8 @@
                 votes ? Path.of(meaning.values().getOrDefault("fleet folder", "")) : null,
                 meaning.value("fleet report") == null ? null : address(meaning.value("fleet report")), rules,
                 outs(meaning, new ArrayList<>(voters.keySet())),
-                limits(meaning, lease), servers(meaning), meaning.number("out below-most", BigDecimal.ONE).intValue());
+                limits(meaning, lease), servers(meaning), meaning.number("out below-most", BigDecimal.ONE).intValue(),
+                places(meaning));
     }
 
     private static Map<String, Set<String>> servers(Meaning meaning) {
@@ -67,6 +70,22 @@
         return servers;
     }
 
+    /** Servers of which the file says what they bear; only those are planned. */
+    public static List<Place> places(Meaning meaning) {
+        List<Place> places = new ArrayList<>();
+        for (String name : meaning.items(Schema.SERVER)) {
+            String at = "server " + name + " ";
+            if (meaning.value(at + "bears") != null) {
+                int bears = meaning.number(at + "bears", null).intValue();
+                places.add(new Place(name, new Site(meaning.values().getOrDefault(at + "region", "region"),
+                        meaning.values().getOrDefault(at + "zone", "zone")), bears,
+                        meaning.number(at + "near", BigDecimal.ONE).intValue(), meaning.number(at + "far", BigDecimal.ZERO).intValue(),
+                        Boolean.parseBoolean(meaning.values().getOrDefault(at + "stays-in-region", "false"))));
+            }
+        }
+        return places;
+    }
+
     /** Why a server may not rest beside those that do: by this node's file, nobody would carry out some track. */
     String against(String server, Set<String> resting) {
         if (!servers.containsKey(server)) {
--- a/src/main/java/lupinwood/council/FleetView.java
+++ b/src/main/java/lupinwood/council/FleetView.java
@@ -1,6 +1,7 @@
 package lupinwood.council;
 
 import java.util.List;
+import java.util.Map;
 import lupinwood.fleet.DutyName;
 import lupinwood.fleet.NodeName;
 import lupinwood.fleet.Token;
@@ -13,16 +14,20 @@
  * @param touchUntil after it the council's word is stale, and this node does as it would alone
  * @param held what this node holds, each with its end
  * @param found what the holder of the duty trial found, in no order
+ * @param share what it may have at places below by the plan, and until when
  * @param rests servers to which nothing new is to be sent, by the council's last word, however old that is
  * @param leader who leads the council; null where nobody is known to
  */
-public record FleetView(Moment touchUntil, List<Held> held, List<Found> found, List<String> rests,
+public record FleetView(Moment touchUntil, List<Held> held, List<Found> found, Share share, List<String> rests,
         NodeName leader) {
-    static final FleetView NONE = new FleetView(new Moment(Long.MIN_VALUE), List.of(), List.of(), List.of(), null);
+    static final FleetView NONE = new FleetView(new Moment(Long.MIN_VALUE), List.of(), List.of(), new Share(0, Map.of(), new Moment(Long.MIN_VALUE)), List.of(), null);
 
     /** @param until when it may be done no more */
     public record Held(DutyName duty, Token token, Moment until) {}
 
+    /** @param plan zero before the first */
+    public record Share(long plan, Map<String, Integer> slots, Moment until) {}
+
     /** @param at when it was tried, by this node's clock */
     public record Found(String server, boolean well, Moment at) {}
 
--- a/src/main/java/lupinwood/council/Question.java
+++ b/src/main/java/lupinwood/council/Question.java
@@ -34,7 +34,13 @@
 
     /** What the one who leads knows; null where nobody who does answered in time. */
     public static Council.State state(Collection<InetSocketAddress> voters, Span within, Log log) throws InterruptedException {
-        return ask(voters, within, log).values().stream().filter(one -> one.get("leads").getAsBoolean())
+        return state(voters, within, log, false);
+    }
+
+    /** @param plans with all plans that some node may go by */
+    public static Council.State state(Collection<InetSocketAddress> voters, Span within, Log log, boolean plans)
+            throws InterruptedException {
+        return ask(voters, within, log, plans).values().stream().filter(one -> one.get("leads").getAsBoolean())
                 .map(one -> GSON.fromJson(one.get("state"), Council.State.class)).findFirst().orElse(null);
     }
 
@@ -70,6 +76,11 @@
      */
     public static Map<Integer, JsonObject> ask(Collection<InetSocketAddress> voters, Span within, Log log)
             throws InterruptedException {
+        return ask(voters, within, log, false);
+    }
+
+    private static Map<Integer, JsonObject> ask(Collection<InetSocketAddress> voters, Span within, Log log, boolean plans)
+            throws InterruptedException {
         Map<Integer, JsonObject> answers = new LinkedHashMap<>();
         CountDownLatch enough = new CountDownLatch(1);
         Carriage carriage = new Carriage((from, text) -> {
@@ -88,6 +99,9 @@
                 JsonObject ask = new JsonObject();
                 ask.addProperty("k", "ask");
                 ask.addProperty("number", number++);
+                if (plans) {
+                    ask.addProperty("plans", true);
+                }
                 carriage.say(voter, ask);
             }
             enough.await(within.nanos(), TimeUnit.NANOSECONDS);
--- a/src/main/java/lupinwood/failover/Place.java
+++ b/src/main/java/lupinwood/failover/Place.java
@@ -22,7 +22,7 @@
     }
 
     /** 0 in the same zone, 1 in the same region, 2 elsewhere. */
-    int distance(Site node) {
+    public int distance(Site node) {
         return node.equals(site) ? 0 : node.region().equals(site.region()) ? 1 : 2;
     }
 }
--- a/src/main/java/lupinwood/failover/Planner.java
+++ b/src/main/java/lupinwood/failover/Planner.java
@@ -97,7 +97,7 @@
         if (!settled) {
             return null;
         }
-        Map<String, Map<String, Integer>> target = whole(allot(view.places(), sites, counts));
+        Map<String, Map<String, Integer>> target = whole(allot(view.places(), sites, counts), view.places());
         Map<String, Integer> bears = new TreeMap<>();
         Map<String, Map<String, Integer>> alone = new TreeMap<>();
         for (Place place : view.places()) {
@@ -242,16 +242,36 @@
         }
     }
 
-    /** Whole slots; what the rounding leaves is free. */
-    private static Map<String, Map<String, Integer>> whole(Map<String, Map<String, Double>> given) {
+    /**
+     * Whole slots. What a site loses by that at all places together it gets back in whole ones, where it lost most and as long
+     * as there is room: else a need that is spread thinly would come to nothing.
+     */
+    private Map<String, Map<String, Integer>> whole(Map<String, Map<String, Double>> given, List<Place> places) {
+        Map<String, Double> room = new HashMap<>();
+        for (Place place : places) {
+            double sum = given.values().stream().mapToDouble(parts -> Math.floor(parts.getOrDefault(place.name(), 0.0) + 1e-9)).sum();
+            room.put(place.name(), Math.floor(place.bears() * health.trust(place.name())) - sum);
+        }
         Map<String, Map<String, Integer>> slots = new TreeMap<>();
         given.forEach((site, parts) -> {
             Map<String, Integer> own = new TreeMap<>();
+            Map<String, Double> lost = new TreeMap<>();
             parts.forEach((place, part) -> {
-                if (part >= 1) {
-                    own.put(place, (int) Math.floor(part + 1e-9));
-                }
+                own.put(place, (int) Math.floor(part + 1e-9));
+                lost.put(place, part - Math.floor(part + 1e-9));
             });
+            double all = lost.values().stream().mapToDouble(one -> one).sum();
+            List<String> most = lost.entrySet().stream().filter(one -> one.getValue() > 0).sorted(
+                    Comparator.comparing((Map.Entry<String, Double> one) -> -one.getValue()).thenComparing(Map.Entry::getKey))
+                    .map(Map.Entry::getKey).toList();
+            for (String place : most) {
+                if (all > 0.1 && room.get(place) >= 1) {
+                    own.merge(place, 1, Integer::sum);
+                    room.merge(place, -1.0, Double::sum);
+                    all--;
+                }
+            }
+            own.values().removeIf(one -> one == 0);
             slots.put(site, own);
         });
         return slots;
--- a/src/main/java/lupinwood/fleet/Allotment.java
+++ b/src/main/java/lupinwood/fleet/Allotment.java
@@ -44,6 +44,15 @@
         return now.isBefore(until) ? Math.max(standing, slots.getOrDefault(place, 0)) : standing;
     }
 
+    /** Until when it may go by {@link #slots}. */
+    public Moment until() {
+        return until;
+    }
+
+    public Map<String, Integer> slots() {
+        return slots;
+    }
+
     public boolean isLeased(Moment now) {
         return now.isBefore(until);
     }
--- a/src/main/java/lupinwood/fleet/Holding.java
+++ b/src/main/java/lupinwood/fleet/Holding.java
@@ -64,6 +64,11 @@
         held.putAll(next);
     }
 
+    /** When that beat went out; null where it isn't known any more. */
+    Moment asked(long number) {
+        return askedAt.get(number);
+    }
+
     /** The token to act under, or null: then the act must not be done. */
     public Token mayAct(DutyName duty, Moment now) {
         Until until = held.get(duty);
--- a/src/main/java/lupinwood/fleet/Session.java
+++ b/src/main/java/lupinwood/fleet/Session.java
@@ -39,6 +39,7 @@
     private final Map<DutyName, Grant> failsAt = new TreeMap<>();
     private List<String> leftOut = List.of();
     private Report report;
+    private final Allotment allotment = new Allotment(Map.of());
     private final Map<String, Finding> found = new LinkedHashMap<>();
     private final Map<String, Moment> foundAt = new LinkedHashMap<>();
 
@@ -113,6 +114,11 @@
         silences = 0;
         latestWord = now;
         latest = reply;
+        Moment asked = holding.asked(reply.number());
+        if (reply.share() != null && asked != null) {
+            allotment.told(reply.share().plan(), reply.share().slots(),
+                    asked.plus(rules.heldFor().min(reply.lease().times(1 - rules.drift()))));
+        }
         holding.told(reply, now);
         handsOn.values().removeIf(grant -> reply.number() == number && !reply.grants().contains(grant));
         failsAt.values().removeIf(grant -> reply.number() == number && !reply.grants().contains(grant));
@@ -132,6 +138,11 @@
         next = soon.isBefore(next) ? soon : next;
     }
 
+    /** What this node may have at places below by plans; standing rights are not in it. */
+    public Allotment allotment() {
+        return allotment;
+    }
+
     /** Which duties are this node's. */
     public Holding holding() {
         return holding;
--- a/src/main/java/lupinwood/lab/Caller.java
+++ b/src/main/java/lupinwood/lab/Caller.java
@@ -18,10 +18,20 @@
     private final Map<String, String> tags = new ConcurrentHashMap<>();
     private final BiConsumer<String, List<String>> heard;
     private long tag;
+    private final boolean heeds;
+    private int open;
+    /** The node asked for no more on this connection. */
+    private boolean finished;
 
     /** @param heard hears each answer's ticket id and its words */
     Caller(int port, Audit audit, BiConsumer<String, List<String>> heard) throws IOException {
+        this(port, audit, heard, false);
+    }
+
+    /** @param heeds whether it closes, as it should, once the node wants no more on it and all is answered */
+    Caller(int port, Audit audit, BiConsumer<String, List<String>> heard, boolean heeds) throws IOException {
         this.audit = audit;
+        this.heeds = heeds;
         this.heard = heard;
         socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setTcpNoDelay(true);
@@ -32,10 +42,15 @@
     private void read() {
         try (InputStream in = new BufferedInputStream(socket.getInputStream())) {
             for (List<String> words = Wire.array(in); words != null; words = Wire.array(in)) {
-                String id = tags.get(words.get(0));
+                if (words.get(0).equals("0") && words.get(1).equals("FIN")) {
+                    finish();
+                    continue;
+                }
+                String id = tags.remove(words.get(0));
                 if (id != null) {
                     audit.answer(id, words.get(1), words.size() > 3 ? words.get(3) : "", System.currentTimeMillis());
                     heard.accept(id, words);
+                    answered();
                 }
             }
         } catch (IOException e) {
@@ -43,6 +58,25 @@
         }
     }
 
+    private synchronized void finish() throws IOException {
+        finished = true;
+        if (open == 0 && heeds) {
+            socket.close();
+        }
+    }
+
+    private synchronized void answered() throws IOException {
+        open--;
+        if (finished && open == 0 && heeds) {
+            socket.close();
+        }
+    }
+
+    /** Whether nothing more may be sent on it; what is open is still answered, and then it closes by itself. */
+    synchronized boolean isFinished() {
+        return finished;
+    }
+
     void send(String id, Audit.Sent ticket, String customer) throws IOException {
         send(id, ticket, customer, 0);
     }
@@ -52,6 +86,7 @@
         String fields = "req=" + id + ",ts=" + (ticket.atMillis() + shiftMillis) + ",via=1,owner=" + customer + ",need=20.5,level=0.5"
                 + (ticket.mark() == null ? "" : ",opkey=" + ticket.mark());
         audit.sent(id, ticket);
+        open++;
         tags.put(Long.toString(++tag), id);
         socket.getOutputStream().write(Wire.array("REQ", Long.toString(tag), ticket.track(), fields, ticket.body()));
     }
--- a/src/main/java/lupinwood/lab/Experiments.java
+++ b/src/main/java/lupinwood/lab/Experiments.java
@@ -6,7 +6,8 @@
 /** The runs by their names. */
 public final class Experiments {
     public static final String NAMES = "tour, reload-storm, config-cost, pools, mixed-fronts, duties-time, duties, duties-no-token, duties-late, duties-no-early-stop, duties-calm,"
-            + " fleet-cost, trials, fleet-tour, hand-overs, fleet-on-off, permits, release, releases-time, release-tour, release-ways, rest, failover-time";
+            + " fleet-cost, trials, fleet-tour, hand-overs, fleet-on-off, permits, release, releases-time, release-tour, release-ways, rest, failover-time, plan-model, failover,"
+            + " failover-alone";
 
     private Experiments() {}
 
@@ -44,6 +45,10 @@
             case "release-tour" -> new ReleaseTour(seed, out);
             case "release-ways" -> new ReleaseWays(seed, size > 0 ? size : 300, plot);
             case "failover-time" -> new FailoverInTime(seed, size > 0 ? size : 12);
+            case "plan-model" -> new PlanModel();
+            case "failover" -> new FailoverRun(seed, size > 0 ? size : 12, seconds > 0 ? Math.max(1, seconds / 21) : 6, true, log);
+            case "failover-alone" -> new FailoverRun(seed, size > 0 ? size : 12, seconds > 0 ? Math.max(1, seconds / 21) : 6,
+                    false, log);
             case "releases-time" -> new ReleasesInTime(seed, size > 0 ? size : 200, out);
             case "permits" -> new PermitsRun(seed, seconds > 0 ? seconds : 60, log);
             default -> null;
--- /dev/null
+++ b/src/main/java/lupinwood/lab/FailoverRun.java
@@ -0,0 +1,127 @@
+package lupinwood.lab;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import lupinwood.council.Council;
+import lupinwood.log.Log;
+
+/**
+ * Three regions of two zones, each with a place below, and real nodes that share the places by plans in common: places are
+ * lost, err and come back, zones are cut off, planners and leaders die. The auditor counts at the places: never more there
+ * than they bear by the fleet's doing, and the rules for tickets.
+ */
+final class FailoverRun implements Experiment {
+    private static final int VOTERS = 3;
+    private static final int ZONES = 6;
+    private static final int REGIONS = 3;
+    private static final long LEASE_MILLIS = 1500;
+    private static final int TICKETS_EVERY = 24;
+    private static final int BEARS = 12;
+    private static final int NEAR = 2;
+    private static final long TAKES_MILLIS = 100;
+
+    private enum Fault { PLACE_ERRS, REGION_ERRS, ZONE_CUT_OFF, PLANNER_DIES, PLANNER_STALLS, NODE_DIES }
+
+    private final long seed;
+    private final int nodes;
+    private final int rounds;
+    private final boolean planned;
+    private final Log log;
+    private final List<String> broken = new ArrayList<>();
+    private final List<Bearing> bearings = new ArrayList<>();
+    private final List<StandInServer> servers = new ArrayList<>();
+
+    /** @param planned else each node decides for itself, which is for comparison: the places may be sent too much */
+    FailoverRun(long seed, int nodes, int rounds, boolean planned, Log log) {
+        this.seed = seed;
+        this.nodes = nodes;
+        this.rounds = rounds;
+        this.planned = planned;
+        this.log = log;
+    }
+
+    @Override
+    public Outcome run() throws Exception {
+        Random random = new Random(seed * 0x9E3779B97F4A7C15L);
+        StringBuilder more = new StringBuilder();
+        List<Door> doors = new ArrayList<>();
+        for (int zone = 0; zone < ZONES; zone++) {
+            Bearing bearing = new Bearing(BEARS, TAKES_MILLIS);
+            bearings.add(bearing);
+            StandInServer server = new StandInServer(new Audit(), random.nextLong(), 0).with(bearing);
+            servers.add(server);
+            Door door = new Door(0, server::talk);
+            doors.add(door);
+            more.append("server p").append(zone).append(" { address \"").append(door.address()).append("\"; tracks history; region r")
+                    .append(zone * REGIONS / ZONES).append("; zone z").append(zone).append(planned ? "; bears " + BEARS + "; near " + NEAR
+                    : "").append(" }\n");
+        }
+        try (ProcessFleet fleet = new ProcessFleet(VOTERS, nodes, nodes, LEASE_MILLIS, TICKETS_EVERY, true, seed, log::line,
+                more.toString(), 2, REGIONS, ZONES)) {
+            fleet.startAll();
+            for (int i = 0; i < 100 && fleet.state() == null; i++) {
+                Thread.sleep(200);
+            }
+            Thread.sleep(6 * LEASE_MILLIS);
+            for (int round = 0; round < rounds; round++) {
+                round(fleet, Fault.values()[Math.floorMod(seed + round, Fault.values().length)], random);
+            }
+            broken.addAll(fleet.leaveAll());
+            int most = bearings.stream().mapToInt(Bearing::most).max().orElse(0);
+            int broke = bearings.stream().mapToInt(Bearing::broke).sum();
+            if (planned && most > BEARS) {
+                broken.add("a place that bears " + BEARS + " had " + most + " tickets at once");
+            }
+            return new Outcome(String.format(Locale.ROOT, "failover: nodes %d, rounds %d, %s, places had at most %d of %d, broke %d,"
+                    + " tickets at places %d, tickets %d, satisfied %d, bounced %d, abandoned %d, excused %d, broken %d", nodes, rounds,
+                    planned ? "by plan" : "each for itself", most, BEARS, broke,
+                    servers.stream().mapToLong(StandInServer::tries).sum(), fleet.count("sent"), fleet.count("satisfied"),
+                    fleet.count("bounced"), fleet.count("abandoned"), fleet.count("excused"), broken.size()), broken);
+        } finally {
+            for (Door door : doors) {
+                door.close();
+            }
+        }
+    }
+
+    private void round(ProcessFleet fleet, Fault fault, Random random) throws InterruptedException, IOException {
+        log.line("fault: " + fault);
+        int zone = random.nextInt(ZONES);
+        ProcessFleet.Member one = fault.name().startsWith("PLANNER") ? planner(fleet) : fleet.members.get(nodes - 1 - random.nextInt(nodes / 2));
+        switch (fault) {
+            case PLACE_ERRS -> bearings.get(zone).errs(true);
+            case REGION_ERRS -> {
+                bearings.get(zone / 2 * 2).errs(true);
+                bearings.get(zone / 2 * 2 + 1).errs(true);
+            }
+            case ZONE_CUT_OFF -> fleet.zone(zone, VOTERS, Link::cut);
+            case PLANNER_STALLS -> {
+                one.heldUp();
+                one.process.stop();
+            }
+            default -> one.kill();
+        }
+        Thread.sleep(6 * LEASE_MILLIS);
+        switch (fault) {
+            case PLACE_ERRS, REGION_ERRS -> bearings.forEach(bearing -> bearing.errs(false));
+            case ZONE_CUT_OFF -> fleet.zone(zone, VOTERS, Link::mend);
+            case PLANNER_STALLS -> {
+                one.process.goOn();
+                Thread.sleep(50);
+                one.goesOn();
+            }
+            default -> one.start();
+        }
+        Thread.sleep(8 * LEASE_MILLIS);
+    }
+
+    private ProcessFleet.Member planner(ProcessFleet fleet) throws InterruptedException {
+        Council.State state = fleet.state();
+        return state == null ? fleet.members.get(0) : state.duties().stream().filter(held -> held.duty().text().equals("planner")
+                && !held.isFree()).findFirst().map(held -> fleet.members.get(Integer.parseInt(held.holder().text().substring(1))))
+                .orElse(fleet.members.get(0));
+    }
+}
--- a/src/main/java/lupinwood/lab/ProcessFleet.java
+++ b/src/main/java/lupinwood/lab/ProcessFleet.java
@@ -71,7 +71,7 @@
             if (place >= inFleet) {
                 return text.toString();
             }
-            text.append(FLEET.formatted(leaseMillis, place % ZONES, toSink.address(),
+            text.append(FLEET.formatted(leaseMillis, region(place % zones), place % zones, toSink.address(),
                     listen > 0 ? "; listen \"127.0.0.1:" + listen + "\"; folder council" : ""));
             text.append(more);
             for (int i = 0; i < toVoters.size(); i++) {
@@ -164,8 +164,8 @@
                 return;
             }
             try {
-                if (caller == null) {
-                    caller = new Caller(port, audit, (id, words) -> answered(id));
+                if (caller == null || caller.isFinished()) {
+                    caller = new Caller(port, audit, (id, words) -> answered(id), true);
                 }
                 String id = String.format("%016x", chance.nextLong());
                 boolean unlock = chance.nextInt(3) == 0;
@@ -208,7 +208,7 @@
             track unlock { effect receipted; agreed-time 2s; abandon-time 6s; window 60s; calls #true }
             """;
     private static final String FLEET = """
-            fleet { lease %dms; region r; zone z%d; report "%s"%s }
+            fleet { lease %dms; region %s; zone z%d; report "%s"%s }
             out { most 2; share 100%%; zone-most 1; zone-share 100%%; least-in 3 }
             """;
     /** What the files say of how much may be out. */
@@ -219,6 +219,8 @@
     private final List<Integer> voterPorts = new ArrayList<>();
     private final int inFleet;
     private final String more;
+    private final int regions;
+    private final int zones;
     private final long workMillis;
     private final Path at;
     private final Random random;
@@ -247,6 +249,14 @@
      */
     ProcessFleet(int voters, int inFleet, int all, long leaseMillis, int ticketsEvery, boolean refusesLower, long seed,
             Consumer<String> log, String more, long workMillis) throws IOException {
+        this(voters, inFleet, all, leaseMillis, ticketsEvery, refusesLower, seed, log, more, workMillis, 1, ZONES);
+    }
+
+    /** @param zones in all; they are parted among the regions */
+    ProcessFleet(int voters, int inFleet, int all, long leaseMillis, int ticketsEvery, boolean refusesLower, long seed,
+            Consumer<String> log, String more, long workMillis, int regions, int zones) throws IOException {
+        this.regions = regions;
+        this.zones = zones;
         this.more = more;
         this.workMillis = workMillis;
         this.inFleet = inFleet;
@@ -304,11 +314,16 @@
         member.toVoters.forEach(job);
     }
 
+    /** The region of a zone, as the files name it. */
+    String region(int zone) {
+        return regions == 1 ? "r" : "r" + zone * regions / zones;
+    }
+
     /** The links between two zones, both ways. */
     void zone(int zone, int voters, Consumer<Link> job) {
         for (Member member : members) {
             for (int voter = 0; voter < voters; voter++) {
-                if (member.place % ZONES == zone != (voter % ZONES == zone)) {
+                if (member.place % zones == zone != (voter % zones == zone)) {
                     job.accept(member.toVoters.get(voter));
                 }
             }
--- a/src/main/java/lupinwood/lab/StandInServer.java
+++ b/src/main/java/lupinwood/lab/StandInServer.java
@@ -21,6 +21,8 @@
     /** So many of a hundred tickets meet a fault. */
     private final int faults;
     private final AtomicLong tries = new AtomicLong();
+    /** Null for one that bears all at once and takes no time. */
+    private Bearing bearing;
 
     StandInServer(Audit audit, long seed, int faults) {
         this.audit = audit;
@@ -37,6 +39,12 @@
         return random.nextInt(bound);
     }
 
+    /** From now on it takes time, and breaks under too much. */
+    StandInServer with(Bearing by) {
+        bearing = by;
+        return this;
+    }
+
     void talk(InputStream in, OutputStream out) throws IOException {
         FrontReader reader = new FrontReader(PACKET, 1 << 20);
         byte[] buffer = new byte[2048];
@@ -74,6 +82,9 @@
         }
         audit.ran("server " + System.identityHashCode(this) + " " + tries.incrementAndGet(), track,
                 new String(whole.body(), StandardCharsets.ISO_8859_1));
+        if (bearing != null && !bearing.carriesOut()) {
+            return false;
+        }
         byte[] answer = Replies.answer(fault == 1 ? 500 : 200, "", Map.of("Content-Type", "text/plain"),
                 StandInExecutor.result(whole.body()), PACKET, fault != 2);
         switch (fault) {
--- a/src/main/java/lupinwood/net/AjpServers.java
+++ b/src/main/java/lupinwood/net/AjpServers.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntUnaryOperator;
 import java.util.function.Supplier;
 import lupinwood.ajp.BackReader;
 import lupinwood.ajp.BadPacket;
@@ -37,6 +38,7 @@
     private static final int MOST_RESULT = 64 * 1024;
     /** Tickets that no server may have now; past that they end without having run. */
     private static final int MOST_WAITING = 256;
+    private static final int FARTHEST = 2;
     private static final double SAVED_UP = 10;
     /** A connection at rest for longer is asked first whether anybody is there. */
     private static final Span JUST_USED = Span.ofSeconds(0.5);
@@ -73,6 +75,15 @@
     private final Deque<Run> waiting = new ArrayDeque<>();
     private final Set<Line> toFlush = new HashSet<>();
     private Deadlines.Deadline back;
+    /** By servers: tickets that might have gone there, that ended, that failed, and what the others took. */
+    private final long[] asked;
+    private final long[] endedThere;
+    private final long[] failedThere;
+    private final double[] tookThere;
+    /** How many may be out at a server, by agreement; null for no such bound. */
+    private IntUnaryOperator most;
+    /** Servers of a lower one are asked first; null where all are alike. */
+    private int[] distance;
     /** What a ticket that tries a server for all nodes carries besides; null where each tries for itself. */
     private Supplier<Map<String, String>> mark;
     private Host host;
@@ -94,6 +105,10 @@
         }
         linger = new Span(Long.parseLong(meaning.values().getOrDefault("machine linger", "0")));
         pool = new Pool(meaning.items(Schema.SERVER), Rules.USUAL, seed);
+        asked = new long[servers.size()];
+        endedThere = new long[servers.size()];
+        failedThere = new long[servers.size()];
+        tookThere = new double[servers.size()];
         means.decider().addWriter(this::flush);
     }
 
@@ -124,12 +139,15 @@
     /** It will end, by itself; so there is always somebody to ask. */
     boolean run(TryId id, String track, byte[] body) {
         budget.first();
+        for (int i = 0; i < servers.size(); i++) {
+            asked[i] += servers.get(i).tracks().contains(track) ? 1 : 0;
+        }
         send(new Run(id, track, body, host.now()));
         return true;
     }
 
     private void send(Run run) {
-        int server = pool.send(host.now(), run.tried, one -> servers.get(one).tracks().contains(run.track));
+        int server = choose(run);
         if (server >= 0) {
             run.tried.add(server);
             begin(run, server);
@@ -146,6 +164,54 @@
         }
     }
 
+    private int choose(Run run) {
+        if (most == null) {
+            return pool.send(host.now(), run.tried, one -> servers.get(one).tracks().contains(run.track));
+        }
+        for (int away = 0; away <= FARTHEST; away++) {
+            int of = away;
+            int server = pool.send(host.now(), run.tried, one -> servers.get(one).tracks().contains(run.track)
+                    && distance[one] == of && pool.out(one) < most.applyAsInt(one));
+            if (server >= 0) {
+                return server;
+            }
+        }
+        return -1;
+    }
+
+    /**
+     * By agreement with other nodes, from now on.
+     *
+     * @param away how far each server is: 0, 1 or 2; nearer ones get a ticket first
+     * @param may how many may be out at a server now
+     */
+    void share(int[] away, IntUnaryOperator may) {
+        distance = away;
+        most = may;
+    }
+
+    /** The shares have changed: what waits may have a place now. */
+    void shared() {
+        sendWaiting();
+    }
+
+    long asked(int server) {
+        return asked[server];
+    }
+
+    long ended(int server) {
+        return endedThere[server];
+    }
+
+    long failed(int server) {
+        return failedThere[server];
+    }
+
+    /** Seconds, of those that went well, together. */
+    double took(int server) {
+        return tookThere[server];
+    }
+
     /** Guards against tickets that wait while nothing ends: a server that may be tried again is reason enough. */
     private void watchForBack() {
         means.deadlines().callOff(back);
@@ -305,6 +371,9 @@
             means.deadlines().callOff(cap);
             Span took = host.now().since(sentAt);
             boolean wasSlow = slow;
+            endedThere[server]++;
+            failedThere[server] += end == Pool.End.WELL ? 0 : 1;
+            tookThere[server] += end == Pool.End.WELL ? took.seconds() : 0;
             if (end == Pool.End.FAILED && written && linger.isPositive()) {
                 // AJP can't stop a run: it may go on there, and counts as out for as long.
                 means.deadlines().at(host.now().plus(linger), () -> {
--- a/src/main/java/lupinwood/net/FleetPart.java
+++ b/src/main/java/lupinwood/net/FleetPart.java
@@ -1,8 +1,10 @@
 package lupinwood.net;
 
 import java.math.BigDecimal;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Supplier;
 import lupinwood.core.Deadlines;
 import lupinwood.core.Host;
@@ -11,7 +13,9 @@
 import lupinwood.council.FleetView;
 import lupinwood.council.Hands;
 import lupinwood.fleet.Condition;
+import lupinwood.failover.Place;
 import lupinwood.fleet.DutyName;
+import lupinwood.fleet.Report;
 import lupinwood.fleet.Tally;
 import lupinwood.fleet.Token;
 import lupinwood.log.Log;
@@ -38,6 +42,10 @@
     private volatile List<String> leftOut = List.of();
     private volatile List<String> emptied = List.of();
     private List<String> rests = List.of();
+    private final FleetSettings settings;
+    private final List<Place> places;
+    private volatile List<Report.Use> uses = List.of();
+    private FleetView.Share shared;
     private final Counts counts = new Counts();
     private volatile Tally tally = Tally.NOTHING;
     private List<FleetView.Found> heard = List.of();
@@ -52,8 +60,10 @@
     FleetPart(Meaning meaning, AjpServers servers, Deadlines deadlines, Supplier<Hands> hands, Runnable leave, Log log) {
         this.deadlines = deadlines;
         this.servers = servers;
+        settings = FleetSettings.of(meaning);
+        places = FleetSettings.places(meaning);
         warmAfter = new Span(meaning.number("rules warm-after", BigDecimal.ZERO).longValue());
-        fleet = new Fleet(FleetSettings.of(meaning), new Fleet.Self(() -> condition, () -> leftOut, () -> emptied, () -> tally,
+        fleet = new Fleet(settings, new Fleet.Self(() -> condition, () -> leftOut, () -> emptied, () -> uses, () -> tally,
                 () -> hands.get() == null ? Hands.NONE : hands.get(), leave),
                 log);
     }
@@ -66,6 +76,9 @@
     void serve(Host served) {
         host = served;
         served.answersTo(counts);
+        if (servers != null && !places.isEmpty()) {
+            shareServers();
+        }
         if (servers != null) {
             servers.pool().trialsBy(new InCommon());
             servers.markTrials(() -> tries == null ? Map.of() : Map.of("X-Duty-Token", tries.toString()));
@@ -73,6 +86,37 @@
         look();
     }
 
+    /** What may be out where: by the plan while its lease lasts, else by standing right; all that isn't planned is as without. */
+    private void shareServers() {
+        Pool pool = servers.pool();
+        Map<String, Place> planned = new TreeMap<>();
+        places.forEach(place -> planned.put(place.name(), place));
+        int[] away = new int[pool.size()];
+        for (int i = 0; i < away.length; i++) {
+            Place place = planned.get(pool.name(i));
+            away[i] = place == null ? 0 : place.distance(settings.site());
+        }
+        servers.share(away, server -> {
+            Place place = planned.get(pool.name(server));
+            if (place == null) {
+                return Integer.MAX_VALUE;
+            }
+            FleetView.Share share = fleet.view().share();
+            int alone = place.alone(settings.site());
+            return monotonic().isBefore(share.until()) ? Math.max(alone, share.slots().getOrDefault(place.name(), 0)) : alone;
+        });
+    }
+
+    private List<Report.Use> uses() {
+        Pool pool = servers.pool();
+        List<Report.Use> told = new ArrayList<>();
+        for (int i = 0; i < pool.size(); i++) {
+            told.add(new Report.Use(pool.name(i), pool.out(i), servers.asked(i), servers.ended(i), servers.failed(i), servers.took(i),
+                    pool.isLeftOut(i)));
+        }
+        return told;
+    }
+
     private static Moment monotonic() {
         return new Moment(System.nanoTime());
     }
@@ -88,6 +132,13 @@
                 servers.rest(rests);
             }
             emptied = pool.emptied();
+            if (!places.isEmpty()) {
+                uses = uses();
+                if (shared != fleet.view().share()) {
+                    shared = fleet.view().share();
+                    servers.shared();
+                }
+            }
             List<FleetView.Found> found = fleet.view().found();
             if (found != heard) {
                 heard = found;
--- a/src/main/java/lupinwood/settings/Schema.java
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -224,6 +224,18 @@
                 .says("Whose tickets it carries out, in place of the executor.");
         at("server * secret", "operator.servers.#.secret", TEXT).otherwise("none").change(RESTART, ROUTED)
                 .says("What the node shows it with each request.");
+        at("server * region", "operator.servers.#.region", TEXT).otherwise("region").change(RESTART, ROUTED)
+                .says("The region that the server stands in.");
+        at("server * zone", "operator.servers.#.zone", TEXT).otherwise("zone").change(RESTART, ROUTED)
+                .says("The zone that the server stands in.");
+        at("server * bears", "operator.servers.#.bears", COUNT).from("1", "1000000").otherwise("not told; it is then not planned")
+                .change(RESTART, ROUTED).says("How many tickets at once the server bears, from all nodes of the fleet together.");
+        at("server * near", "operator.servers.#.near", COUNT).from("0", "1000000").otherwise("1").change(RESTART, ROUTED)
+                .says("How many a node of its zone may have there without a plan.");
+        at("server * far", "operator.servers.#.far", COUNT).from("0", "1000000").otherwise("0").change(RESTART, ROUTED)
+                .says("How many a node of another zone may have there without a plan.");
+        at("server * stays-in-region", "operator.servers.#.stays_in_region", FLAG).otherwise("#false").change(RESTART, ROUTED)
+                .says("Whether no node of another region may ever send there.");
         at("fleet region", "operator.fleet.region", TEXT).otherwise("region").change(RESTART, JOINED)
                 .says("The region that the node stands in.");
         at("fleet zone", "operator.fleet.zone", TEXT).otherwise("zone").change(RESTART, JOINED)
--- /dev/null
+++ b/src/test/java/lupinwood/failover/PlannerTest.java
@@ -0,0 +1,145 @@
+package lupinwood.failover;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import lupinwood.fleet.Book;
+import lupinwood.fleet.Deed;
+import lupinwood.fleet.DutyName;
+import lupinwood.fleet.Life;
+import lupinwood.fleet.NodeName;
+import lupinwood.fleet.Report;
+import lupinwood.fleet.Seen;
+import lupinwood.fleet.Site;
+import lupinwood.fleet.Standing;
+import lupinwood.fleet.Tally;
+import lupinwood.fleet.Token;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+import org.junit.jupiter.api.Test;
+
+/** Three zones in two regions, two nodes and one place each, by the real book; each word is heard at once. */
+final class PlannerTest {
+    private static final Span LEASE = Span.ofSeconds(2);
+    private static final Site[] SITES = {new Site("r0", "z0"), new Site("r0", "z1"), new Site("r1", "z2")};
+    private final List<Place> places = new ArrayList<>();
+    private final Book book = new Book(100);
+    private Planner planner = new Planner(LEASE);
+    private final long[][][] counts = new long[6][3][2];
+    private final boolean[][] leftOut = new boolean[6][3];
+    private final long[] asked = new long[6];
+    private Token token;
+    private double now;
+
+    PlannerTest() {
+        for (int i = 0; i < 3; i++) {
+            places.add(new Place("p" + i, SITES[i], 20, 2, 0, false));
+        }
+        book.apply(new Deed.Found(1));
+        for (int i = 0; i < 6; i++) {
+            book.apply(new Deed.Join(new NodeName("n" + i), new Life(i), SITES[i % 3]));
+        }
+        book.apply(new Deed.Give(DutyName.PLANNER, new NodeName("n0"), new Life(0), new Token(0)));
+        token = book.duty(DutyName.PLANNER).token();
+    }
+
+    /** Each second each node asks for 40 tickets of 0.1 s; where it leaves a place out, it sends nothing there. */
+    private void play(int seconds) {
+        for (int second = 0; second < seconds; second++) {
+            now++;
+            List<Seen> seen = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                asked[i] += 40;
+                List<Report.Use> uses = new ArrayList<>();
+                for (int place = 0; place < 3; place++) {
+                    counts[i][place][0] += leftOut[i][place] || place != i % 3 ? 0 : 40;
+                    uses.add(new Report.Use("p" + place, 0, asked[i], counts[i][place][0], counts[i][place][1],
+                            counts[i][place][0] * 0.1, leftOut[i][place]));
+                }
+                seen.add(new Seen(new NodeName("n" + i), new Life(i), SITES[i % 3], Standing.WARM, Span.ZERO,
+                        new Report("1", "", null, List.of(), book.lastPlan(), uses, Tally.NOTHING)));
+            }
+            Deed.SetPlan plan = planner.decide(new Planner.View(places, book.members(), seen, book.livePlans(), book.lastPlan()),
+                    token, new Moment(Math.round(now * 1e9)));
+            if (plan != null) {
+                assertThat(book.apply(plan)).as("it fits").isTrue();
+            }
+            book.apply(new Deed.Retire(book.lastPlan())); // all said so
+        }
+    }
+
+    private void sick(int place, boolean sick) {
+        for (int i = 0; i < 6; i++) {
+            leftOut[i][place] = sick;
+        }
+    }
+
+    private int slots(int zone, int place) {
+        return book.plan().slots().getOrDefault(SITES[zone].toString(), Map.of()).getOrDefault("p" + place, 0);
+    }
+
+    @Test
+    void allIsNearWhileNearIsWell() {
+        play(20);
+        for (int zone = 0; zone < 3; zone++) {
+            assertThat(slots(zone, zone)).isBetween(14, 20);
+            assertThat(slots(zone, (zone + 1) % 3)).isZero();
+        }
+        long plan = book.lastPlan();
+        play(60);
+        assertThat(book.lastPlan()).as("nothing is planned anew without a cause").isEqualTo(plan);
+    }
+
+    @Test
+    void aLostPlacesWorkGoesIntoTheRegionFirstAndComesBackInSteps() {
+        play(20);
+        sick(0, true);
+        play(6);
+        assertThat(slots(0, 0)).as("its standing right").isEqualTo(4);
+        assertThat(slots(0, 1)).as("p1 in the region").isGreaterThan(slots(0, 2));
+        assertThat(slots(0, 1) + slots(0, 2)).isGreaterThanOrEqualTo(8);
+        assertThat(book.history().get(book.history().size() - 1).text()).contains("p0 is trusted with 0%");
+        sick(0, false);
+        play(4);
+        assertThat(slots(0, 0)).as("a quarter of its trust at a time").isLessThan(14);
+        play(30);
+        assertThat(slots(0, 0)).isGreaterThanOrEqualTo(14);
+        assertThat(slots(0, 1)).isZero();
+    }
+
+    @Test
+    void whatComesOverAllMovesNothingAndAZoneThatSuffersItselfIsNotHeeded() {
+        play(20);
+        long plan = book.lastPlan();
+        for (int place = 0; place < 3; place++) {
+            sick(place, true);
+        }
+        play(20);
+        assertThat(book.lastPlan()).as("all is sick everywhere").isEqualTo(plan);
+        for (int place = 0; place < 3; place++) {
+            sick(place, false);
+        }
+        play(5);
+        plan = book.lastPlan();
+        for (int place = 0; place < 3; place++) {
+            leftOut[2][place] = true;
+            leftOut[5][place] = true;
+        }
+        play(20);
+        assertThat(slots(0, 0)).isGreaterThanOrEqualTo(14);
+        assertThat(slots(1, 1)).isGreaterThanOrEqualTo(14);
+    }
+
+    @Test
+    void aPlaceThatStaysInItsRegionTakesNothingFromElsewhere() {
+        places.set(2, new Place("p2", SITES[2], 20, 2, 0, true));
+        planner = new Planner(LEASE);
+        play(20);
+        sick(0, true);
+        play(10);
+        assertThat(slots(0, 2)).isZero();
+        assertThat(slots(0, 1)).isPositive();
+    }
+}
--- /dev/null
+++ b/src/test/java/lupinwood/fleet/PlanBookTest.java
@@ -0,0 +1,144 @@
+package lupinwood.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import lupinwood.node.Moment;
+import lupinwood.node.Span;
+import org.junit.jupiter.api.Test;
+
+/** Shares of places: what fits, how they are parted, and when an older plan may be forgotten. */
+final class PlanBookTest {
+    private static final Rules RULES = Rules.of(Span.ofSeconds(3), 0.01);
+    private final Book book = new Book(100);
+    private final Steward steward = new Steward(RULES, List.of());
+    private Token token;
+    private long number;
+
+    private static NodeName node(int i) {
+        return new NodeName("n" + i);
+    }
+
+    private static Site site(int i) {
+        return new Site("r", "z" + i % 2);
+    }
+
+    private static Moment at(double seconds) {
+        return new Moment(Math.round(seconds * 1e9));
+    }
+
+    private void found(int nodes) {
+        book.apply(new Deed.Found(1));
+        for (int i = 0; i < nodes; i++) {
+            book.apply(new Deed.Join(node(i), new Life(i), site(i)));
+        }
+        book.apply(new Deed.Give(DutyName.PLANNER, node(0), new Life(0), new Token(0)));
+        token = book.duty(DutyName.PLANNER).token();
+        steward.leads(book, at(0));
+    }
+
+    private boolean plan(int z0, int z1, Map<String, Map<String, Integer>> alone) {
+        return book.apply(new Deed.SetPlan(token, book.lastPlan(), Map.of("p", 10), alone,
+                Map.of("r/z0", Map.of("p", z0), "r/z1", Map.of("p", z1)), "", 0));
+    }
+
+    private Reply say(int node, long plan, double seconds) {
+        Beat beat = new Beat(Beat.VERSION, node(node), new Life(node), site(node), Condition.WARM, ++number, List.of(), List.of(),
+                List.of(), List.of(), List.of(), new Report("1", "", null, List.of(), plan, List.of(), Tally.NOTHING));
+        return steward.replyTo(beat, steward.heard(beat, book, at(seconds)), book, node(0), at(seconds));
+    }
+
+    private void decide(double seconds) {
+        steward.decide(book, 1, at(seconds)).forEach(book::apply);
+    }
+
+    @Test
+    void moreIsGivenOnlyAfterWhatItTakesFromCanBeGoneByNoMore() {
+        found(4);
+        assertThat(plan(10, 1, Map.of())).as("eleven of ten").isFalse();
+        assertThat(plan(8, 2, Map.of())).isTrue();
+        say(0, 1, 4);
+        say(1, 1, 4);
+        assertThat(plan(2, 8, Map.of())).as("z0 may go by eight still").isFalse();
+        assertThat(plan(2, 2, Map.of())).isTrue();
+        say(1, 2, 4.1);
+        say(3, 2, 4.1);
+        decide(4.2);
+        assertThat(book.livePlans()).as("n0 was told of the first, and hasn't said that it dropped it").hasSize(2);
+        assertThat(plan(2, 8, Map.of())).isFalse();
+        assertThat(say(0, 1, 4.5).share().slots()).isEqualTo(Map.of("p", 1));
+        say(0, 2, 4.6);
+        say(2, 2, 4.6);
+        decide(4.7);
+        assertThat(book.livePlans()).extracting(Plan::number).containsExactly(2L);
+        assertThat(plan(2, 8, Map.of())).isTrue();
+    }
+
+    @Test
+    void aSilentNodesLeaseHasToRunOutAndANewLeaderWaitsForAll() {
+        found(4);
+        plan(8, 2, Map.of());
+        say(0, 0, 4);
+        plan(2, 2, Map.of());
+        decide(7);
+        assertThat(book.livePlans()).hasSize(2);
+        decide(7.1);
+        assertThat(book.livePlans()).as("3 s and the drift later").hasSize(1);
+        plan(2, 1, Map.of());
+        steward.leadsNoMore();
+        steward.leads(book, at(8));
+        decide(10.9);
+        assertThat(book.livePlans()).as("what the one before told isn't known here").hasSize(2);
+        decide(11.1);
+        assertThat(book.livePlans()).hasSize(1);
+    }
+
+    @Test
+    void standingRightsCountAndNewcomersHaveNothingByAnOldPlan() {
+        found(4);
+        Map<String, Map<String, Integer>> alone = Map.of("r/z0", Map.of("p", 3));
+        assertThat(plan(2, 6, alone)).as("two nodes of z0 may have six in any case").isFalse();
+        assertThat(plan(2, 4, alone)).isTrue();
+        book.apply(new Deed.Join(node(4), new Life(4), site(4)));
+        assertThat(book.plan().of(node(4))).isEmpty();
+        assertThat(say(4, 0, 5).share().slots()).isEmpty();
+        book.apply(new Deed.Forget(node(1)));
+        assertThat(book.plan().roster()).doesNotContainKey("n1");
+        Book again = new Book(100);
+        again.open(book.page());
+        assertThat(again.page()).isEqualTo(book.page());
+    }
+
+    @Test
+    void whateverIsBelievedOfWhateverLivePlansTheSumStaysUnderTheBound() {
+        for (int seed = 0; seed < 200; seed++) {
+            Random random = new Random(seed);
+            Book one = new Book(100);
+            one.apply(new Deed.Found(1));
+            int nodes = 2 + random.nextInt(9);
+            for (int i = 0; i < nodes; i++) {
+                one.apply(new Deed.Join(node(i), new Life(i), site(i)));
+            }
+            one.apply(new Deed.Give(DutyName.PLANNER, node(0), new Life(0), new Token(0)));
+            Token under = one.duty(DutyName.PLANNER).token();
+            for (int step = 0; step < 60; step++) {
+                if (random.nextInt(4) == 0) {
+                    one.apply(new Deed.Retire(1 + random.nextInt((int) one.lastPlan() + 1)));
+                } else {
+                    one.apply(new Deed.SetPlan(under, one.lastPlan(), Map.of("p", 12), Map.of(), Map.of("r/z0", Map.of("p",
+                            random.nextInt(13)), "r/z1", Map.of("p", random.nextInt(13))), "", 0));
+                }
+                Map<Integer, Integer> believed = new HashMap<>();
+                List<Plan> live = new ArrayList<>(one.livePlans());
+                for (int i = 0; i < nodes && !live.isEmpty(); i++) {
+                    believed.put(i, live.get(random.nextInt(live.size())).of(node(i)).getOrDefault("p", 0));
+                }
+                assertThat(believed.values().stream().mapToInt(may -> may).sum()).as("seed " + seed).isLessThanOrEqualTo(12);
+            }
+        }
+    }
+}
--- a/src/test/java/lupinwood/lab/LabTest.java
+++ b/src/test/java/lupinwood/lab/LabTest.java
@@ -133,6 +133,22 @@
         assertThat(outcome.line()).contains("GOOD_TEXT done=1", "REFUSED_TEXT back=1");
     }
 
+    @Test
+    void noPlaceIsSentMoreThanItBearsAndThePlanLiesNearTheTruth() throws Exception {
+        assertThat(Experiments.named("failover-time", 1, 24, 0, "", new PrintStream(printed, true), log).run().broken()).isEmpty();
+    }
+
+    @Test
+    void realProcessesSharePlacesWithoutBreakingOne() throws Exception {
+        Experiment.Outcome outcome = Experiments.named("failover", 2, 6, 21, "", new PrintStream(printed, true), log).run();
+        assertThat(outcome.broken()).isEmpty();
+    }
+
+    @Test
+    void aServerThatIsToldToBeEmptyGetsNothing() throws Exception {
+        assertThat(Experiments.named("rest", 1, 1, 0, "", new PrintStream(printed, true), log).run().broken()).isEmpty();
+    }
+
     @Test
     void noMoreNodesGoAtOnceThanTheFilesSay() throws Exception {
         Experiment.Outcome outcome =
