--- a/src/main/java/lupinwood/lab/Caller.java
+++ b/src/main/java/lupinwood/lab/Caller.java
@@ -13,6 +13,8 @@
 
 /** A dispatcher with one connection to the node; its answers are read by a thread of its own. */
 final class Caller implements Closeable {
+    private static final int MOST_OPEN = 32;
+
     private final Socket socket;
     private final Audit audit;
     private final Map<String, String> tags = new ConcurrentHashMap<>();
@@ -72,8 +74,12 @@
         }
     }
 
-    /** Whether nothing more may be sent on it; what is open is still answered, and then it closes by itself. */
+    /**
+     * Whether nothing more may be sent on it, since the node said so or since as much is open as the protocol allows; what is
+     * open is still answered, and then it closes by itself.
+     */
     synchronized boolean isFinished() {
+        finished |= open >= MOST_OPEN;
         return finished;
     }
 
