Look through all that can happen to shares of two zones at three places

Change: lab plan-model. Its first form never ended, since it told words apart that mean the same; its second found only one of five broken orderings, as no table let a plan take before it gave.

--- a/src/main/java/lupinwood/lab/PlanModel.java
+++ b/src/main/java/lupinwood/lab/PlanModel.java
@@ -32,18 +32,18 @@
     private static final Map<String, String> ROSTER = Map.of("a", "z0", "b", "z1");
     private static final List<Map<String, Map<String, Integer>>> TABLES = List.of(
             Map.of("z0", Map.of("p0", 2), "z1", Map.of("p1", 2)),
-            Map.of("z0", Map.of("p1", 2), "z1", Map.of("p2", 2)),
+            Map.of(), // what is taken is taken first
             Map.of("z0", Map.of("p2", 2), "z1", Map.of("p0", 2)));
 
     /**
-     * A word to a node, as long as anybody may count on it.
+     * A word to a node, as long as its lease may last. Once that has run out it is gone here: who leads may drop it then, and
+     * dropping it later would only allow less; one that comes after that gives nothing.
      *
-     * @param over its lease has run out at the node, whether it came or not
      * @param old told by a leader before, so that today's knows nothing of it
      */
-    private record Word(int node, int plan, boolean came, boolean over, boolean old) {
+    private record Word(int node, int plan, boolean came, boolean old) {
         int hashed() {
-            return node + 2 * plan + 8 * (came ? 1 : 0) + 16 * (over ? 1 : 0) + 32 * (old ? 1 : 0);
+            return node + 2 * plan + 8 * (came ? 1 : 0) + 16 * (old ? 1 : 0);
         }
     }
 
@@ -116,8 +116,7 @@
         for (int node = 0; node < NODES.size(); node++) {
             int heard = state.heard(node);
             int of = node;
-            boolean leased = state.words().stream().anyMatch(word -> word.node() == of && word.plan() == heard && word.came()
-                    && !word.over());
+            boolean leased = state.words().stream().anyMatch(word -> word.node() == of && word.plan() == heard && word.came());
             if (leased) {
                 plan(state, heard).of(new NodeName(NODES.get(node))).forEach((place, may) -> sums.merge(place, may, Integer::sum));
             }
@@ -132,7 +131,7 @@
         int newest = s.tables().size();
         for (int node = 0; node < NODES.size(); node++) {
             if (newest > 0 && s.words().size() < MOST_GRANTS) {
-                all.add(words(s, with(s.words(), new Word(node, newest, false, false, false))));
+                all.add(words(s, with(s.words(), new Word(node, newest, false, false))));
             }
             int heard = s.heard(node);
             if (heard > s.told(node)) {
@@ -144,10 +143,10 @@
             word(s, i, without, all);
         }
         if (s.leaders() < MOST_LEADERS) {
-            List<Word> old = s.words().stream().map(word -> new Word(word.node(), word.plan(), word.came(), word.over(), true)).toList();
+            List<Word> old = s.words().stream().map(word -> new Word(word.node(), word.plan(), word.came(), true)).toList();
             all.add(new State(s.tables(), s.oldest(), old, s.heardA(), s.heardB(), 0, 0, s.leaders() + 1, false));
         }
-        boolean oldOver = s.words().stream().noneMatch(word -> word.old() && !word.over());
+        boolean oldOver = s.words().stream().noneMatch(Word::old);
         if (!s.waited() && (oldOver || without == Without.WAIT_OF_A_NEW_LEADER)) {
             all.add(new State(s.tables(), s.oldest(), s.words(), s.heardA(), s.heardB(), s.toldA(), s.toldB(), s.leaders(), true));
         }
@@ -171,21 +170,18 @@
         }
     }
 
-    /** It comes, perhaps twice; its lease runs out there; the leader drops it. */
+    /** It comes, perhaps twice; its lease runs out, come or not. */
     private static void word(State s, int i, Without without, List<State> all) {
         Word word = s.words().get(i);
         int heard = s.heard(word.node());
         boolean newer = word.plan() >= heard || without == Without.NEVER_BACK;
         int then = newer ? word.plan() : heard;
-        List<Word> came = set(s.words(), i, new Word(word.node(), word.plan(), true, word.over(), word.old()));
+        List<Word> came = set(s.words(), i, new Word(word.node(), word.plan(), true, word.old()));
         all.add(new State(s.tables(), s.oldest(), came, word.node() == 0 ? then : s.heardA(), word.node() == 1 ? then : s.heardB(),
                 s.toldA(), s.toldB(), s.leaders(), s.waited()));
-        all.add(words(s, set(s.words(), i, new Word(word.node(), word.plan(), word.came(), true, word.old()))));
-        if (word.over()) {
-            List<Word> left = new ArrayList<>(s.words());
-            left.remove(i);
-            all.add(words(s, List.copyOf(left)));
-        }
+        List<Word> left = new ArrayList<>(s.words());
+        left.remove(i);
+        all.add(words(s, List.copyOf(left)));
     }
 
     /** As the steward does it: of what today's leader told, and nothing before it waited for what others told. */
