Keep a fleet's longest messages within their bound at three hundred nodes

Need, found in reading: with counts and uses in each beat the picture of 300 nodes would pass 256 KB, and a batch of long log entries could pass it too; such a message is never sent, so the conductor, or a voter that lags, would have stood still. Change: tallies, uses and the past are told where asked for only, 512 KB a message, four log entries a batch, a bound on what is kept of the past.

--- a/src/main/java/lupinwood/council/Carriage.java
+++ b/src/main/java/lupinwood/council/Carriage.java
@@ -30,8 +30,8 @@
  */
 final class Carriage {
     /** A message is no longer, in bytes. */
-    static final int MOST_BYTES = 256 * 1024;
-    private static final int MOST_UNREAD = 512 * 1024;
+    static final int MOST_BYTES = 512 * 1024;
+    private static final int MOST_UNREAD = 1024 * 1024;
     private static final int MOST_SESSIONS = 2048;
     private static final int IDLE_SECONDS = 30;
     private static final long CONNECT_MS = 2000;
--- a/src/main/java/lupinwood/council/Council.java
+++ b/src/main/java/lupinwood/council/Council.java
@@ -114,6 +114,8 @@
     /** Beats that wait for one confirmation; past that the newest is passed over, and told again by its node. */
     private static final int MOST_WAITING = 4096;
     private static final int MOST_DEEDS_AT_ONCE = 64;
+    /** A batch of the longest deeds, a text or the past of all nodes, has to fit into one message. */
+    private static final int MOST_IN_A_BATCH = 4;
 
     /** @param again whether it was answered before, and hears of something new since */
     private record Waiting(Beat beat, Consumer<Reply> to, boolean again) {}
@@ -148,7 +150,7 @@
         RaftConfig config = RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(ELECTION_MILLIS)
                 .setLeaderHeartbeatPeriodSecs(HEARTBEAT_SECONDS).setLeaderHeartbeatTimeoutSecs(SILENCE_SECONDS)
                 .setCommitCountToTakeSnapshot(SNAPSHOT_EVERY).setRaftNodeReportPublishPeriodSecs(REPORT_SECONDS)
-                .setAppendEntriesRequestBatchSize(100).setTransferSnapshotsFromFollowersEnabled(false).build();
+                .setAppendEntriesRequestBatchSize(MOST_IN_A_BATCH).setTransferSnapshotsFromFollowersEnabled(false).build();
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(GROUP).setConfig(config)
                 .setExecutor(new Executor()).setTransport(new Post()).setStateMachine(new Agreed()).setStore(means.store())
                 .setModelFactory(RaftText.MODEL).setRandom(means.random()).setClock(new EngineClock());
@@ -340,11 +342,14 @@
     /**
      * Some of it is long, and told where asked for only.
      *
+     * @param withTallies what nodes answered
      * @param withPast how nodes did before the release
-     * @param withPlans how much goes where
+     * @param withPlans how much goes where, and what nodes do at places
      */
-    public State state(boolean withPast, boolean withPlans) {
-        List<Seen> seen = leads() ? steward.picture(book, means.loop().now()) : List.of();
+    public State state(boolean withTallies, boolean withPast, boolean withPlans) {
+        List<Seen> seen = leads() ? steward.picture(book, means.loop().now()).stream().map(one -> one.report() == null ? one
+                : new Seen(one.name(), one.life(), one.site(), one.standing(), one.heard(), one.report().with(withTallies, withPlans)))
+                .toList() : List.of();
         return new State(self, leader(), raft.getTerm().getTerm(), seen, new ArrayList<>(book.duties()), book.digest(),
                 book.deeds(), new ArrayList<>(book.permits()), book.haltedBy(), book.history(), book.release(), book.good(),
                 new ArrayList<>(book.rests()),
--- a/src/main/java/lupinwood/council/Fleet.java
+++ b/src/main/java/lupinwood/council/Fleet.java
@@ -398,7 +398,8 @@
         text.addProperty("leads", council != null && council.isLeading());
         text.addProperty("leader", council == null || council.leader() == null ? "" : council.leader().text());
         text.add("number", question.get("number"));
-        text.add("state", council == null ? new JsonObject() : GSON.toJsonTree(council.state(question.has("past"), question.has("plans"))));
+        text.add("state", council == null ? new JsonObject() : GSON.toJsonTree(council.state(question.has("tallies"),
+                question.has("past"), question.has("plans"))));
         return text;
     }
 
@@ -491,6 +492,9 @@
             JsonObject ask = new JsonObject();
             ask.addProperty("k", "ask");
             ask.addProperty("number", 0);
+            if (leads != null && releaseOpen) {
+                ask.addProperty("tallies", true);
+            }
             if (leads != null && conductor.wantsPast()) {
                 ask.addProperty("past", true);
             }
--- a/src/main/java/lupinwood/fleet/Report.java
+++ b/src/main/java/lupinwood/fleet/Report.java
@@ -37,6 +37,11 @@
      */
     public record Checked(String digest, boolean fits, boolean restarts, String why) {}
 
+    /** The same with the long parts only where they are asked for. */
+    public Report with(boolean tallies, boolean places) {
+        return new Report(program, runs, checked, emptied, plan, places ? uses : List.of(), tallies ? tally : Tally.NOTHING);
+    }
+
     Report cut() {
         Checked shorter = checked == null || checked.why() == null || checked.why().length() <= MOST_CHARS ? checked
                 : new Checked(checked.digest(), checked.fits(), checked.restarts(), checked.why().substring(0, MOST_CHARS));
--- a/src/main/java/lupinwood/lab/FailoverRun.java
+++ b/src/main/java/lupinwood/lab/FailoverRun.java
@@ -62,9 +62,7 @@
         try (ProcessFleet fleet = new ProcessFleet(VOTERS, nodes, nodes, LEASE_MILLIS, TICKETS_EVERY, true, seed, log::line,
                 more.toString(), 2, REGIONS, ZONES)) {
             fleet.startAll();
-            for (int i = 0; i < 100 && fleet.state() == null; i++) {
-                Thread.sleep(200);
-            }
+            fleet.awaitLeader();
             Thread.sleep(6 * LEASE_MILLIS);
             for (int round = 0; round < rounds; round++) {
                 round(fleet, Fault.values()[Math.floorMod(seed + round, Fault.values().length)], random);
--- a/src/main/java/lupinwood/lab/ProcessFleet.java
+++ b/src/main/java/lupinwood/lab/ProcessFleet.java
@@ -339,6 +339,13 @@
         return Question.state(voterAddresses(), Span.ofSeconds(2), quiet);
     }
 
+    /** Until somebody leads the council, or for 20 s. */
+    void awaitLeader() throws InterruptedException {
+        for (int i = 0; i < 100 && state() == null; i++) {
+            Thread.sleep(200);
+        }
+    }
+
     /** What a command came to. */
     record Said(int status, List<String> lines) {}
 
--- a/src/main/java/lupinwood/lab/ReleaseRun.java
+++ b/src/main/java/lupinwood/lab/ReleaseRun.java
@@ -88,7 +88,7 @@
                 WORK_MILLIS)) {
             fleet = all;
             all.startAll();
-            awaitLeader();
+            all.awaitLeader();
             Door.daemon(this::supervise);
             Thread.sleep(4 * LEASE_MILLIS);
             for (int round = 0; round < rounds; round++) {
@@ -190,12 +190,6 @@
                 Span.ofSeconds(5), quiet);
     }
 
-    private void awaitLeader() throws InterruptedException {
-        for (int i = 0; i < 100 && fleet.state() == null; i++) {
-            Thread.sleep(200);
-        }
-    }
-
     private static String text(What what, int round) {
         return switch (what) {
             case GOOD_TEXT -> "goal { worst-track " + (20 + round) + "% }\n// round " + round + "\n";
--- a/src/main/java/lupinwood/lab/ReleaseTour.java
+++ b/src/main/java/lupinwood/lab/ReleaseTour.java
@@ -39,9 +39,7 @@
                 RULES + servers, 15)) {
             out.println("Six nodes in three zones, three of them voters, each wave watched for 4 s at the least.");
             fleet.startAll();
-            for (int i = 0; i < 100 && fleet.state() == null; i++) {
-                Thread.sleep(200);
-            }
+            fleet.awaitLeader();
             Thread.sleep(6 * LEASE_MILLIS);
             say(fleet, 0, "fleet", "release", good.toString(), "--by", "ann", "--wait", "--operator");
             say(fleet, REFUSED, "fleet", "release", same.toString(), "--by", "ann", "--operator");
--- a/src/main/java/lupinwood/lab/RestRun.java
+++ b/src/main/java/lupinwood/lab/RestRun.java
@@ -60,9 +60,7 @@
         try (ProcessFleet fleet = new ProcessFleet(VOTERS, NODES, NODES, LEASE_MILLIS, TICKETS_EVERY, true, seed, log::line,
                 more.toString(), 2)) {
             fleet.startAll();
-            for (int i = 0; i < 100 && fleet.state() == null; i++) {
-                Thread.sleep(200);
-            }
+            fleet.awaitLeader();
             Thread.sleep(4 * LEASE_MILLIS);
             for (int round = 0; round < rounds; round++) {
                 round(fleet, round, Fault.values()[random.nextInt(Fault.values().length)], random);
--- a/src/main/java/lupinwood/lab/TimedFleet.java
+++ b/src/main/java/lupinwood/lab/TimedFleet.java
@@ -221,7 +221,7 @@
         /** Asks itself, then acts; between the two it may be stopped. */
         private void poll() {
             if (council != null && council.isLeading()) {
-                int term = council.state(false, false).term();
+                int term = council.state(false, false, false).term();
                 NodeName leader = leaders.putIfAbsent(term, name);
                 if (leader != null && !leader.equals(name)) {
                     breaks("two lead the council in term " + term + ": " + leader + " and " + name);
--- a/src/main/java/lupinwood/release/Conductor.java
+++ b/src/main/java/lupinwood/release/Conductor.java
@@ -31,8 +31,8 @@
     private static final double MOST_OF_THE_REST = 0.6;
     /** Askings for permits at once. */
     private static final int MOST_ASKED = 8;
-    /** Nodes whose past is kept: what is written has to fit into one message. */
-    private static final int MOST_PASTS = 400;
+    /** Counts of the past that are kept: what is written has to fit into one message, a few times. */
+    private static final int MOST_COUNTS = 330;
 
     private final NodeName self;
     private final Limits limits;
@@ -160,10 +160,13 @@
             return List.of(); // what the waves are compared with
         }
         Map<String, Tally> past = new TreeMap<>();
+        long counts = picture.seen().stream().filter(seen -> seen.report() != null)
+                .mapToLong(seen -> seen.report().tally().counts().size()).sum();
         histories.forEach((node, history) -> {
             Tally latest = history.latest(limits.watch(), now);
-            if (latest != null && past.size() < MOST_PASTS) {
-                past.put(node.text(), latest);
+            if (latest != null && past.size() < MOST_COUNTS) {
+                // In large fleets all tracks together: what is kept of each track would be too long.
+                past.put(node.text(), counts <= MOST_COUNTS ? latest : new Tally(List.of(latest.all())));
             }
             history.past(latest);
         });
