Start where there is nothing below to call

Change: index is needed just where machine below is something, calls-out of 0 is refused just where one dependency is shared; both with the entry named. A receipted track without a window is refused and no longer in doubt alone: a repeat could run twice. Should a run ask for a call all the same, the call ends at once as never made.

--- a/src/main/java/lupinwood/net/IndexLink.java
+++ b/src/main/java/lupinwood/net/IndexLink.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import lupinwood.core.Deadlines;
 import lupinwood.core.Ending;
@@ -34,6 +35,7 @@
     private record Call(TryId id, Span cap, byte[] body) {}
 
     private final Means means;
+    /** Null where there is nothing below to call. */
     private InetSocketAddress address;
     private final Map<TryId, Line> lines = new HashMap<>();
     /** Those without a call, the one used last first. */
@@ -54,7 +56,7 @@
 
     /** New calls go there; those under way may still come back where they are. */
     void moveTo(InetSocketAddress next) {
-        if (!next.equals(address)) {
+        if (!Objects.equals(next, address)) {
             address = next;
             List.copyOf(idle).forEach(Line::close);
         }
@@ -62,6 +64,10 @@
 
     @Override
     public void call(TryId id, Span cap, byte[] body) {
+        if (address == null) {
+            means.decider().tell(() -> host.callEnded(id, Ending.NEVER_CONNECTED, null));
+            return;
+        }
         if (lines.size() >= MOST_LINES) {
             waiting.add(new Call(id, cap, body));
             return;
--- a/src/main/java/lupinwood/net/NodeConfig.java
+++ b/src/main/java/lupinwood/net/NodeConfig.java
@@ -26,6 +26,7 @@
 /**
  * What a node is told at its start.
  *
+ * @param index where calls go; null where there is nothing below to call
  * @param stop how long after the notice the process is killed
  * @param sockets how many descriptors it may hold
  * @param settings what the node decides by, as the plain map that the simulator gives too
@@ -152,6 +153,9 @@
 
     private static InetSocketAddress address(Map<String, String> flat, String name) throws Unusable {
         String text = flat.get(name);
+        if (text == null) {
+            return null; // only of an entry that isn't needed
+        }
         InetSocketAddress address = address(text);
         if (address.isUnresolved()) {
             throw new Unusable("'" + name + "' in the configuration names a host that isn't known: " + text);
--- a/src/main/java/lupinwood/settings/Checks.java
+++ b/src/main/java/lupinwood/settings/Checks.java
@@ -35,6 +35,7 @@
         checks.lists();
         checks.sums();
         checks.tracks();
+        checks.below();
         checks.addresses();
         checks.limits();
         checks.routes();
@@ -177,7 +178,7 @@
             boolean receipted = "receipted".equals(meaning.value(at + "effect"));
             if (receipted && meaning.value(window) == null) {
                 fault(window, "the receipted track " + track + " has no window, so a repeat could run twice",
-                        "add window: a time with its unit, no shorter than abandon-time", false);
+                        "add window: a time with its unit, no shorter than abandon-time", true);
             } else if (receipted && isSound(window) && isSound(abandon)
                     && number(window).compareTo(number(abandon)) < 0) {
                 fault(window, "the window " + said(window) + " is shorter than the abandon time " + said(abandon)
@@ -191,6 +192,23 @@
         }
     }
 
+    /** Where tickets call, there must be somewhere to call, and room for a call. */
+    private void below() {
+        String below = meaning.values().getOrDefault("machine below", "nothing");
+        if (below.equals("nothing")) {
+            return;
+        }
+        if (meaning.value("index") == null) {
+            fault("index", "'index' is missing, and machine below is " + below, "add index: "
+                    + Meaning.entry("index").kind().wanted(), true);
+        }
+        String most = "machine calls-out";
+        if (below.equals("one-for-all") && isSound(most) && number(most).signum() == 0) {
+            fault(most, said(most) + " calls out leave none of the one dependency to this node",
+                    "write this node's part of the calls that it survives", true);
+        }
+    }
+
     private void addresses() {
         Map<String, String> first = new HashMap<>();
         for (String name : List.of("listen", "executor", "index", "naming", "ajp listen")) {
--- a/src/main/java/lupinwood/settings/Schema.java
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -68,7 +68,7 @@
                 .says("Where dispatchers connect; the node listens on this address only.");
         at("executor", "executor", ADDRESS).needed().change(AT_ONCE, "the link is handed over; runs go on")
                 .says("Where the executor listens, which carries out the tickets.");
-        at("index", "index", ADDRESS).needed().change(AT_ONCE, "calls that are out may still come back where they are")
+        at("index", "index", ADDRESS).otherwise("needed where there is something below to call").change(AT_ONCE, "calls that are out may still come back where they are")
                 .says("Where the index listens, to which tickets' calls go.");
         at("naming", "naming", ADDRESS).needed().change(AT_ONCE, "the next report goes there")
                 .says("Where the name service listens.");
@@ -142,7 +142,7 @@
                 .change(RESTART, FIXED).says("What tickets call: nothing, one dependency of all nodes, or a next tier.");
         at("machine upstreams", "settings.domain.upstreams", COUNT).from("0", "1000000000").otherwise("1")
                 .change(AT_ONCE, JUDGED).says("How many callers share this node's allowance.");
-        at("machine calls-out", "settings.domain.calls_out", NUMBER).from("0.000001", "1000000000")
+        at("machine calls-out", "settings.domain.calls_out", NUMBER).from("0", "1000000000")
                 .otherwise("no bound").change(RESTART, "calls in hand were let out under it")
                 .says("This node's part of the calls that the dependency survives, as a mean number in hand.");
         at("machine calls-over", "settings.domain.calls_over_ns", SPAN).from("0", HOUR).otherwise("0s")
