Say the last report again after an earlier one that may have overtaken it

Cause: 'not serving' could be overtaken by a 'serving' still under way on another connection, was dropped in silence where four reports were under way (after moves of the name service), and was never said again to a service that was away. At fault: NamingReporter.report and leave.

Change: the last report is said until the service has taken one with no other under way beside it, and makes room for itself.

Tests: CrossingsTest.theLastReportIsSaidAgain... and theLastReportFindsItsWay..., seen to fail without the change.

--- a/src/main/java/lupinwood/net/NamingReporter.java
+++ b/src/main/java/lupinwood/net/NamingReporter.java
@@ -3,7 +3,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import lupinwood.core.Deadlines;
 import lupinwood.core.Ending;
 import lupinwood.core.Host;
@@ -25,9 +27,12 @@
     private final String name;
     private final Means means;
     private final Deque<Line> free = new ArrayDeque<>();
-    private int busy;
+    /** Those with a report under way, the oldest first. */
+    private final Set<Line> under = new LinkedHashSet<>();
     private boolean failing;
     private boolean leaving;
+    /** The service took the last report, and no other was under way beside it. */
+    private boolean lastTaken;
     private Host host;
 
     NamingReporter(InetSocketAddress address, String name, Means means) {
@@ -52,9 +57,16 @@
         }
     }
 
-    /** One last report, so that the list needn't wait for silence. */
+    /**
+     * One last report, so that the list needn't wait for silence. Guards against an earlier one that is still
+     * under way and overtakes it, and against a service that is away: the last is said again once the others have
+     * ended, until the service has taken one with no other under way.
+     */
     void leave() {
         leaving = true;
+        if (under.size() >= MOST_AT_ONCE) {
+            under.iterator().next().giveUp();
+        }
         report();
     }
 
@@ -65,13 +77,19 @@
         }
     }
 
+    private void lastAgain() {
+        if (leaving && !lastTaken && under.isEmpty()) {
+            report();
+        }
+    }
+
     private void report() {
-        if (busy >= MOST_AT_ONCE) {
+        if (under.size() >= MOST_AT_ONCE) {
             return;
         }
-        busy++;
         boolean fresh = free.isEmpty();
         Line line = fresh ? new Line() : free.poll();
+        under.add(line);
         line.deadline = means.deadlines().at(host.now().plus(PATIENCE), line::giveUp);
         if (fresh) {
             line.connect(means.sockets(), address);
@@ -92,6 +110,8 @@
         private final InetSocketAddress to = address;
         private Deadlines.Deadline deadline;
         private boolean asked = true;
+        /** What it says last is that the node leaves, and no report was under way beside it. */
+        private boolean isLast;
         private boolean over;
 
         Line() {
@@ -100,6 +120,7 @@
 
         void say() {
             asked = true;
+            isLast = leaving && under.size() == 1;
             String body = "{\"serving\":\"" + (leaving ? "no" : "yes") + "\"}";
             outbox().add("PUT /ns/hosts/" + name + " HTTP/1.1\r\nHost: naming\r\n"
                     + "Content-Type: application/json\r\n"
@@ -124,7 +145,9 @@
             if (over || !asked || reply.status() < 200) {
                 return;
             }
-            heard(reply.status() == NO_CONTENT ? null : "it answered " + reply.status());
+            boolean taken = reply.status() == NO_CONTENT;
+            lastTaken |= taken && isLast;
+            heard(taken ? null : "it answered " + reply.status());
             rest();
             if (reply.keepsOpen() && to.equals(address)) {
                 free.add(this);
@@ -132,12 +155,17 @@
                 ended(Ending.CLOSED_HERE);
                 outbox().closeNow();
             }
+            if (!taken) {
+                means.deadlines().at(host.now().plus(EVERY), NamingReporter.this::lastAgain);
+            } else {
+                lastAgain();
+            }
         }
 
         private void rest() {
             if (asked) {
                 asked = false;
-                busy--;
+                under.remove(this);
                 means.deadlines().callOff(deadline);
             }
         }
@@ -155,6 +183,7 @@
                 over = true;
                 if (asked) {
                     heard(ending.toString());
+                    means.deadlines().at(host.now().plus(EVERY), NamingReporter.this::lastAgain);
                 }
                 rest();
                 free.remove(this);
