--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -40,6 +40,8 @@
     /** Whether changed files are reason enough to read them. */
     enum Watching { AUTO, ON, OFF }
 
+    /** The exit status; other than 0 where it could not start. */
+    private volatile int endsWith;
     /** Null before the node serves. */
     private volatile Reloader reloader;
 
@@ -79,18 +81,21 @@
         if (inFleet) {
             node.onText(TextHands.of(loader, reads, node, (TextAtStart) agreed, log));
         }
+        // Before the door opens: the notice to leave may come at any time.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(node, log), "leave"));
         try {
-            node.start();
+            if (node.start()) {
+                reloader = reads;
+                reloader.start();
+                log.line(triggers(heard, watches));
+            }
         } catch (IOException e) {
             // The library's own message says no more than where.
             Throwable cause = e.getCause() == null ? e : e.getCause();
             System.err.println("lupinwood: can't listen on " + config.listen() + ": " + cause.getMessage());
+            endsWith = FAILED;
             return FAILED;
         }
-        reloader = reads;
-        reloader.start();
-        log.line(triggers(heard, watches));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(node, log), "leave"));
         try {
             new CountDownLatch(1).await();
         } catch (InterruptedException e) {
@@ -116,14 +121,13 @@
     }
 
     /** Runs on SIGTERM. Halting, and not returning, ends the process with 0: all went as it was asked to. */
-    private static void leave(Serving serving, Log log) {
-        int status = 0;
+    private void leave(Serving serving, Log log) {
         try {
             serving.leave();
         } catch (InterruptedException e) {
-            status = FAILED;
+            endsWith = FAILED;
         }
         log.drain();
-        Runtime.getRuntime().halt(status);
+        Runtime.getRuntime().halt(endsWith);
     }
 }
--- a/src/main/java/lupinwood/core/Admission.java
+++ b/src/main/java/lupinwood/core/Admission.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -51,6 +52,10 @@
         return new CustomerId(customers.get(arrival.customer()));
     }
 
+    Span longestAbandon() {
+        return says.stream().map(Track::abandon).max(Comparator.naturalOrder()).orElse(Span.ZERO);
+    }
+
     Track says(TrackId track) {
         return says.get(track.number());
     }
--- a/src/main/java/lupinwood/core/Arrival.java
+++ b/src/main/java/lupinwood/core/Arrival.java
@@ -9,7 +9,7 @@
  *
  * @param track the track's name, as it came
  * @param customer the customer's name, as it came
- * @param reached when it came to the machine
+ * @param reached when it came to the machine, by the clock that stamped it
  * @param receipt null where the ticket carries none
  * @param body the bytes as they came
  */
@@ -23,4 +23,10 @@
         double memoryKb,
         double rank,
         ReceiptKey receipt,
-        byte[] body) {}
+        byte[] body) {
+
+    /** The same, with that moment told by another clock. */
+    Arrival reachedAt(Moment moment) {
+        return new Arrival(tryId, track, customer, subject, caller, moment, memoryKb, rank, receipt, body);
+    }
+}
--- a/src/main/java/lupinwood/core/Connections.java
+++ b/src/main/java/lupinwood/core/Connections.java
@@ -23,8 +23,8 @@
     private static final Span TIME_TO_CLOSE = Span.ofSeconds(5);
     /** Who connects speaks by then; dispatchers connect to send at once. */
     private static final Span TIME_TO_SPEAK = Span.ofSeconds(1.5);
-    /** What was written last to a connection that is to be closed has this long to go out. */
-    private static final Span TIME_TO_READ = Span.ofSeconds(0.5);
+    /** Who has taken its last answers, and the end behind them, closes its side by then. */
+    private static final Span TIME_TO_END = Span.ofSeconds(0.5);
     /** So many unsound tickets in a row are forgiven to one with a standing. */
     private static final int MOST_STRIKES = 16;
     /** One without a standing for so long, and turned away as often, is asked to close. */
@@ -53,13 +53,15 @@
     private final Dispatchers dispatchers;
     private final Deadlines deadlines;
     private final Supplier<Moment> clock;
+    private final Span timeToRead;
     private Span longestIdle;
     private boolean leaving;
     private int open;
 
-    Connections(int most, Span longestIdle, Dispatchers dispatchers, Deadlines deadlines,
+    Connections(int most, Span longestIdle, Span timeToRead, Dispatchers dispatchers, Deadlines deadlines,
             Supplier<Moment> clock) {
         this.longestIdle = longestIdle;
+        this.timeToRead = timeToRead;
         table = new Slots<>(most);
         this.dispatchers = dispatchers;
         this.deadlines = deadlines;
@@ -96,7 +98,8 @@
                 unused.add(connection);
             }
         });
-        unused.sort(Comparator.<Connection, Boolean>comparing(c -> c.spoke).thenComparing(c -> c.idleSince));
+        unused.sort(Comparator.<Connection, Boolean>comparing(c -> c.spoke && !c.closing)
+                .thenComparing(c -> c.idleSince));
         // A few at once, as more will come.
         for (Connection connection : unused.subList(0, Math.min(unused.size(), 1 + table.size() / 32))) {
             remove(connection.id);
@@ -205,6 +208,14 @@
         }
     }
 
+    /** What came on it can't be read. */
+    void malformed(ConnectionId id) {
+        Connection connection = table.get(id.number());
+        if (connection != null) {
+            end(connection, Ending.MALFORMED);
+        }
+    }
+
     /** It left off within a message. */
     void leftOff(ConnectionId id) {
         Connection connection = table.get(id.number());
@@ -223,6 +234,9 @@
 
     /** Nothing more is read from it, and it is closed once what is open is answered. */
     private void end(Connection connection, Ending why) {
+        if (connection.closing) {
+            return;
+        }
         connection.closing = true;
         connection.why = why;
         dispatchers.readNoMore(connection.id);
@@ -231,11 +245,23 @@
         }
     }
 
-    /** Its last answers go out first; who doesn't take them is cut off. */
+    /** Its last answers go out first; nobody waits for them longer than the longest abandon time. */
     private void close(Connection connection) {
+        cutOffIn(connection, timeToRead);
         dispatchers.close(connection.id, connection.why);
+    }
+
+    /** All that was written to it has gone out. */
+    void written(ConnectionId id) {
+        Connection connection = table.get(id.number());
+        if (connection != null && connection.closing) {
+            cutOffIn(connection, TIME_TO_END);
+        }
+    }
+
+    private void cutOffIn(Connection connection, Span wait) {
         deadlines.callOff(connection.idle);
-        connection.idle = deadlines.at(clock.get().plus(TIME_TO_READ),
+        connection.idle = deadlines.at(clock.get().plus(wait),
                 () -> dispatchers.close(connection.id, Ending.SLOW_READER));
     }
 
@@ -249,6 +275,11 @@
         table.forEach(this::finish);
     }
 
+    /** Some rest until this side ends them. */
+    void end() {
+        table.forEach(connection -> end(connection, Ending.CLOSED_HERE));
+    }
+
     /** It carries nothing from now on. */
     private void rest(Connection connection) {
         connection.idleSince = clock.get();
@@ -261,10 +292,10 @@
             Moment since = connection.idleSince;
             connection.idle = !connection.spoke
                     ? deadlines.at(since.plus(TIME_TO_SPEAK),
-                            () -> dispatchers.close(connection.id, Ending.SAID_NOTHING))
+                            () -> end(connection, Ending.SAID_NOTHING))
                     : connection.finishedAt != null
                     ? deadlines.at(since.plus(TIME_TO_CLOSE),
-                            () -> dispatchers.close(connection.id, Ending.CLOSED_HERE))
+                            () -> end(connection, Ending.CLOSED_HERE))
                     : deadlines.at(since.plus(longestIdle), () -> finish(connection));
         }
     }
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -31,7 +31,7 @@
     }
 
     /** How much this may keep; none of it is the node's own reckoning of memory. */
-    public record Bounds(int connections, int tickets, long receiptBytes) {}
+    public record Bounds(int connections, int tickets, int receipts, long receiptBytes) {}
 
     /** Where results go. */
     public record Ports(Dispatchers dispatchers, Executor executor, Index index, Consumer<String> log) {}
@@ -62,6 +62,8 @@
     /** Null while nobody asks for it. */
     private Answers answers;
     private Moment now;
+    /** How far the machine's clock stands ahead of the time told here; less than nothing where it stands behind. */
+    private Span clockAhead = Span.ZERO;
     private Node node;
     /** When the executor was started; null before its first word. */
     private Moment bornAt;
@@ -70,6 +72,7 @@
     private double advice = -1;
     private boolean leaving;
     private Moment lastTicket;
+    private long connectionsEver;
     /** The tag whose gauges, when they come, prove that all commands before were read; by link. */
     private long replayTag;
     /** When gauges are asked for to settle doubts, or null. */
@@ -87,12 +90,12 @@
         // Dispatchers close idle connections by then; what is left was forgotten.
         Settings read = new Settings(settings);
         Span longestIdle = read.span("domain.keepalive_max_ns");
+        admission = new Admission(read);
         connections = new Connections(bounds.connections(),
-                longestIdle.isPositive() ? longestIdle : ALWAYS_IDLE,
+                longestIdle.isPositive() ? longestIdle : ALWAYS_IDLE, admission.longestAbandon(),
                 ports.dispatchers(), deadlines, this::now);
         tickets = new Slots<>(bounds.tickets());
-        receipts = new Receipts(bounds.receiptBytes());
-        admission = new Admission(read);
+        receipts = new Receipts(bounds.receipts(), bounds.receiptBytes());
         gaugeNames = List.of(read.text("domain.gauges").split(","));
         wakeUps = new WakeUps(gaugeNames, deadlines, ports.executor(), tags, this::now, known -> node.wake(known));
         checks = new HealthChecks(deadlines, ports.executor(), tags, this::now, this::sayHealth);
@@ -117,6 +120,11 @@
         now = now.isBefore(moment) ? moment : now;
     }
 
+    /** What the machine's clock, by which tickets are stamped, shows at this time; it may step either way. */
+    public void clockShows(Moment moment) {
+        clockAhead = moment.since(now);
+    }
+
     /** All that came in at this moment has been told. */
     public void settle() {
         if (node != null) {
@@ -134,6 +142,7 @@
 
     /** A place for a new connection, or null where there is none. */
     public ConnectionId connected() {
+        connectionsEver++;
         return connections.add();
     }
 
@@ -146,6 +155,11 @@
         connections.halfClosed(connection);
     }
 
+    /** All that was written to a connection that ends has gone out. */
+    public void written(ConnectionId connection) {
+        connections.written(connection);
+    }
+
     /** Nobody waits any more for what was open on it. */
     public void disconnected(ConnectionId connection) {
         connections.remove(connection).forEach(this::left);
@@ -155,8 +169,12 @@
      * A ticket came; null where it can't be read. False where the tag is still open: the dispatcher has lost
      * count, and no answer could be told apart.
      */
-    public boolean arrived(ConnectionId connection, long tag, Arrival arrival) {
+    public boolean arrived(ConnectionId connection, long tag, Arrival stamped) {
         if (connections.isClosing(connection)) {
+            // Guards against a ticket read with what ended its connection: it is owed an answer, and must not run.
+            if (connections.open(connection, tag) == null) {
+                ports.dispatchers().answer(connection, tag, Answer.bounced(advice, Span.ZERO, false));
+            }
             return true;
         }
         lastTicket = now;
@@ -174,8 +192,16 @@
             }
             return true;
         }
-        Receipts.Receipt receipt =
-                arrival == null ? null : receipts.find(arrival.receipt(), arrival.reached());
+        // The window counts in the clock by which tickets are stamped, all else in one that never steps.
+        Receipts.Receipt receipt = stamped == null ? null : receipts.find(stamped.receipt(), stamped.reached());
+        Arrival arrival = stamped == null ? null : stamped.reachedAt(stamped.reached().minus(clockAhead));
+        if (receipt == null && arrival != null && arrival.receipt() != null && receipts.isFull()) {
+            // Guards against a flood of marks that are seen once: what could not be remembered must not run.
+            ports.log().accept("bounced a ticket whose mark there is no room to remember");
+            ports.dispatchers().answer(connection, tag, Answer.bounced(advice, Span.ofSeconds(1), false));
+            connections.unwanted(connection);
+            return true;
+        }
         boolean idInUse = arrival != null && byTry.containsKey(arrival.tryId());
         String fault = connections.isStubborn(connection) ? "on a connection asked to close"
                 : admission.fault(arrival, receipt, idInUse, now);
@@ -217,6 +243,11 @@
         }
     }
 
+    /** What can't be read came on it: nothing more is, and it ends once all that is open on it is answered. */
+    public void malformed(ConnectionId connection) {
+        connections.malformed(connection);
+    }
+
     /** A message on it was begun and never ended. */
     public void leftOff(ConnectionId connection) {
         connections.leftOff(connection);
@@ -408,7 +439,7 @@
         }
         conclude(taken, ending, took, result);
         if (ending == Ending.WELL && receipt != null) {
-            receipt.over = true;
+            receipts.over(receipt);
             tellWaiting(receipt, result);
         }
     }
@@ -626,7 +657,7 @@
         if (taken == null || taken.arrival.receipt() == null) {
             return;
         }
-        Moment ends = now.plus(span).plus(WINDOW_SLACK);
+        Moment ends = now.plus(span).plus(WINDOW_SLACK).plus(clockAhead);
         Receipts.Receipt receipt =
                 receipts.remember(taken.arrival.receipt(), ticket, ends, taken.arrival.body());
         dropOnceOver(receipt, admission.track(taken.arrival));
@@ -637,7 +668,7 @@
      * configuration, and the receipt must outlive it all the same.
      */
     private void dropOnceOver(Receipts.Receipt receipt, TrackId track) {
-        Moment over = receipt.ends.plus(admission.says(track).abandon());
+        Moment over = receipt.ends.plus(admission.says(track).abandon()).minus(clockAhead);
         if (now.isBefore(over)) {
             deadlines.at(over, () -> dropOnceOver(receipt, track));
         } else {
@@ -686,7 +717,7 @@
         answer(taken, Answer.plain(Answer.Word.ABANDONED, advice));
         Receipts.Receipt receipt = receipts.of(ticket);
         if (receipt != null && receipt.result == null) {
-            receipt.over = true;
+            receipts.over(receipt);
             news.add(() -> tellWaiting(receipt, null));
         }
     }
@@ -714,6 +745,11 @@
         connections.leave();
     }
 
+    /** Ends those that still stand; what is open on them is answered first. */
+    public void endConnections() {
+        connections.end();
+    }
+
     public Span sinceLastTicket() {
         return now.since(lastTicket);
     }
@@ -727,6 +763,11 @@
         return connections.size();
     }
 
+    /** How many came so far, those without a place among them. */
+    public long connectionsEver() {
+        return connectionsEver;
+    }
+
     /** What stands open, for the log. */
     public String figures() {
         return "connections " + connections.size() + ", open " + connections.openTickets() + ", tickets "
--- a/src/main/java/lupinwood/core/Receipts.java
+++ b/src/main/java/lupinwood/core/Receipts.java
@@ -3,21 +3,24 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import lupinwood.node.Moment;
 import lupinwood.node.TicketId;
 
 /**
- * The receipted tickets remembered here, with the results of those that ran. When bodies and results outgrow
- * their bound the oldest lose theirs; the receipt itself stays, so a repeat is still known and never runs.
+ * The receipted tickets remembered here, with the results of those that ran, bounded in number and in bytes. When
+ * bodies and results outgrow their bound the oldest lose theirs; the receipt itself stays, so a repeat is still
+ * known and never runs. When there are too many, no more are taken.
  */
 final class Receipts {
     /** One remembered ticket. */
     static final class Receipt {
         final ReceiptKey key;
         final TicketId ticket;
+        /** By the clock that stamps tickets. */
         final Moment ends;
         /** Null once it was dropped for want of room. */
         byte[] body;
@@ -39,15 +42,23 @@
         }
     }
 
-    private final Map<ReceiptKey, Receipt> byKey = new LinkedHashMap<>();
+    private final Map<ReceiptKey, Receipt> byKey = new HashMap<>();
     private final Map<TicketId, Receipt> byTicket = new HashMap<>();
+    /** Those that are over and still have their bytes, the oldest first: what is dropped is found in one step. */
+    private final Set<Receipt> heavy = new LinkedHashSet<>();
+    private final int most;
     private final long mostBytes;
     private long bytes;
 
-    Receipts(long mostBytes) {
+    Receipts(int most, long mostBytes) {
+        this.most = most;
         this.mostBytes = mostBytes;
     }
 
+    boolean isFull() {
+        return byTicket.size() >= most;
+    }
+
     /** The receipt that a ticket which came at this moment repeats, or null. */
     Receipt find(ReceiptKey key, Moment reached) {
         Receipt known = key == null ? null : byKey.get(key);
@@ -79,8 +90,18 @@
         }
     }
 
+    /** It runs no more: its bytes may go. */
+    void over(Receipt receipt) {
+        receipt.over = true;
+        if (byTicket.get(receipt.ticket) == receipt && receipt.size() > 0) {
+            heavy.add(receipt);
+            fit();
+        }
+    }
+
     void drop(Receipt receipt) {
         receipt.over = true;
+        heavy.remove(receipt);
         if (byTicket.remove(receipt.ticket, receipt)) {
             byKey.remove(receipt.key, receipt);
             bytes -= receipt.size();
@@ -92,14 +113,13 @@
     }
 
     private void fit() {
-        Iterator<Receipt> oldest = byKey.values().iterator();
+        Iterator<Receipt> oldest = heavy.iterator();
         while (bytes > mostBytes && oldest.hasNext()) {
             Receipt receipt = oldest.next();
-            if (receipt.over) {
-                bytes -= receipt.size();
-                receipt.body = null;
-                receipt.result = null;
-            }
+            oldest.remove();
+            bytes -= receipt.size();
+            receipt.body = null;
+            receipt.result = null;
         }
     }
 }
--- /dev/null
+++ b/src/main/java/lupinwood/net/Acceptor.java
@@ -0,0 +1,49 @@
+package lupinwood.net;
+
+import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+
+/**
+ * A listening socket that leaves nobody behind when it closes. The system completes connections before the
+ * program accepts them; closing the socket resets those that still wait, with the tickets already written to them.
+ */
+class Acceptor extends NioSocketAcceptor {
+    private final IoProcessor<NioSession> processor;
+    private final AtomicLong accepted = new AtomicLong();
+
+    Acceptor(IoProcessor<NioSession> processor) {
+        super(processor);
+        this.processor = processor;
+    }
+
+    long accepted() {
+        return accepted.get();
+    }
+
+    @Override
+    protected NioSession accept(IoProcessor<NioSession> by, ServerSocketChannel from) throws Exception {
+        NioSession session = super.accept(by, from);
+        if (session != null) {
+            accepted.incrementAndGet();
+        }
+        return session;
+    }
+
+    /** Called on the accepting thread, which closes the socket in the same step. */
+    @Override
+    protected void close(ServerSocketChannel closing) throws Exception {
+        while (selector.selectNow() > 0) {
+            selector.selectedKeys().clear();
+            NioSession session = accept(processor, closing);
+            if (session == null) {
+                break;
+            }
+            initSession(session, null, null);
+            session.getProcessor().add(session);
+        }
+        super.close(closing);
+    }
+}
--- a/src/main/java/lupinwood/net/AjpFront.java
+++ b/src/main/java/lupinwood/net/AjpFront.java
@@ -60,7 +60,7 @@
 
     @Override
     public void answer(ConnectionId connection, long tag, Answer answer) {
-        if (caller(connection) instanceof AjpCaller caller) {
+        if (caller(connection) instanceof AjpCaller caller && !caller.isEnded()) {
             switch (answer.word()) {
                 case GOOD, NOT_GOOD -> caller.outbox().add(Replies.pong());
                 default -> caller.answer(answer);
@@ -239,13 +239,13 @@
             answered++;
             outbox().add(Replies.answer(status, reason(status), headers, answer.result(), packet, !last));
             if (last) {
-                outbox().closeOnFlush();
+                close(id(), Ending.CLOSED_BY_PEER);
             }
         }
 
         private boolean ranOut() {
             return match != null && match.refusal() == null && match.abandon().times(NEARLY_ALL)
-                    .compareTo(host().now().since(reached)) <= 0;
+                    .compareTo(Decider.clock().since(reached)) <= 0;
         }
     }
 }
--- a/src/main/java/lupinwood/net/Decider.java
+++ b/src/main/java/lupinwood/net/Decider.java
@@ -9,11 +9,13 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongSupplier;
 import lupinwood.core.Deadlines;
 import lupinwood.core.Host;
 import lupinwood.log.Log;
 import lupinwood.log.WallClock;
 import lupinwood.node.Moment;
+import lupinwood.node.Span;
 
 /**
  * The one deciding thread: it takes in what came, tells the host, settles once, then lets the writes go.
@@ -34,22 +36,38 @@
     /** What this thread tells itself: it must never wait for room in its own inbox. */
     private final Deque<Runnable> own = new ArrayDeque<>();
     private final List<Runnable> writers = new ArrayList<>();
+    private final Moment begun = clock();
+    private final LongSupplier steady;
+    private final long begunAt;
     private final Deadlines deadlines;
     private final Log log;
     private final Thread thread = new Thread(this::decide, "decider");
     private Host host;
     private boolean stopped;
 
-    Decider(Deadlines deadlines, Log log) {
+    Decider(Deadlines deadlines, LongSupplier steady, Log log) {
+        this.steady = steady;
+        begunAt = steady.getAsLong();
         this.deadlines = deadlines;
         this.log = log;
     }
 
+    /** What the machine's clock shows, by which tickets are stamped. It may be set, either way. */
     static Moment clock() {
         Instant instant = WallClock.now();
         return new Moment(instant.getEpochSecond() * 1_000_000_000L + instant.getNano());
     }
 
+    /** The time by which all is due: it began as the machine's clock stood, and never steps. */
+    Moment time() {
+        return begun.plus(new Span(steady.getAsLong() - begunAt));
+    }
+
+    private void advance() {
+        host.advance(time());
+        host.clockShows(clock());
+    }
+
     /** Called after each round, to write what gathered in it. */
     void addWriter(Runnable writer) {
         writers.add(writer);
@@ -72,6 +90,11 @@
         thread.join(LONGEST_STOP);
     }
 
+    /** How much news waits for this thread. */
+    int waiting() {
+        return inbox.size();
+    }
+
     void tell(Runnable news) {
         if (Thread.currentThread() == thread) {
             own.add(news);
@@ -119,16 +142,16 @@
         if (!own.isEmpty()) {
             return own.poll();
         }
-        long wait = Math.min(LONGEST_WAIT, deadlines.soonest().nanos() - clock().nanos());
+        long wait = Math.min(LONGEST_WAIT, deadlines.soonest().nanos() - time().nanos());
         return wait > 0 ? inbox.poll(wait, TimeUnit.NANOSECONDS) : inbox.poll();
     }
 
     private void round(Runnable first) {
         int told = 0;
-        host.advance(clock());
+        advance();
         for (Runnable news = first; news != null; news = ++told < MOST_AT_ONCE ? next() : null) {
             // Guards against a long round: what came during it must not look as if from the future.
-            host.advance(clock());
+            advance();
             guarded(news);
         }
         guarded(() -> deadlines.ring(host.now()));
--- a/src/main/java/lupinwood/net/DispatcherListener.java
+++ b/src/main/java/lupinwood/net/DispatcherListener.java
@@ -12,7 +12,6 @@
 import lupinwood.core.Arrival;
 import lupinwood.core.ConnectionId;
 import lupinwood.core.Deadlines;
-import lupinwood.core.Ending;
 import lupinwood.core.ReceiptKey;
 import lupinwood.core.TryId;
 import lupinwood.log.Log;
@@ -74,7 +73,7 @@
 
     private void send(ConnectionId connection, String tag, String word, String fields, byte[] result) {
         Caller caller = caller(connection);
-        if (caller == null) {
+        if (caller == null || caller.isEnded()) {
             return;
         }
         int items = result.length > 0 ? 4 : fields == null || fields.isEmpty() ? 2 : 3;
@@ -116,14 +115,15 @@
             }
             long tag = LineParser.number(text(items.get(1)));
             if (tag < 1) {
-                throw new Malformed("no tag can be " + tag);
+                throw new Malformed("no tag is 0");
             }
             switch (verb) {
                 case "REQ" -> {
                     Arrival arrival = arrival(items);
                     return () -> {
                         if (!host().arrived(id(), tag, arrival)) {
-                            close(id(), Ending.MALFORMED);
+                            log().line("closing a dispatcher's connection: a tag that is still open came again");
+                            host().malformed(id());
                         }
                     };
                 }
--- a/src/main/java/lupinwood/net/Front.java
+++ b/src/main/java/lupinwood/net/Front.java
@@ -81,24 +81,32 @@
     public final void close(ConnectionId connection, Ending why) {
         Caller caller = callers.get(connection);
         if (caller != null) {
-            if (why != Ending.CLOSED_BY_PEER) {
+            // Of what can't be read the log has told, with the cause.
+            if (why != Ending.CLOSED_BY_PEER && why != Ending.MALFORMED) {
                 log.line("closing a dispatcher's connection: " + why);
             }
-            if (why == Ending.CLOSED_BY_PEER || why == Ending.UNSOUND || why == Ending.SAID_NOTHING) {
-                caller.outbox.closeOnFlush();
-            } else {
+            if (why == Ending.SLOW_READER || why == Ending.MADE_ROOM) {
                 caller.outbox.closeNow();
+            } else {
+                caller.ends = true;
+                flushSoon(caller);
             }
         }
     }
 
     private void flush() {
+        long waitingForAll = -1;
         for (Caller caller : toFlush) {
             caller.outbox.flush();
             long waiting = caller.outbox.waiting();
+            // Guards against a round whose work grows with the square of those that don't read.
+            waitingForAll = waiting > FEW && waitingForAll < 0 ? waitingForAll() : waitingForAll;
             // Guards against callers that don't read: their answers must not fill the memory.
-            if (waiting > MOST_WAITING || waiting > FEW && waitingForAll() > MOST_WAITING_ALL) {
+            if (waiting > MOST_WAITING || waiting > FEW && waitingForAll > MOST_WAITING_ALL) {
+                waitingForAll -= waiting;
                 close(caller.id, Ending.SLOW_READER);
+            } else if (caller.ends && !caller.ended) {
+                caller.end();
             }
         }
         toFlush.clear();
@@ -120,6 +128,12 @@
         private volatile long messages;
         private volatile boolean midway;
         private boolean watched;
+        /** Its output ends with this round, so that all read with what ended it still gets its answer. */
+        private boolean ends;
+        /** Nothing more is written to it; and that has gone out. */
+        private boolean ended;
+        private boolean outputOver;
+        private boolean inputOver;
 
         /** The next whole message, or null where more bytes are needed. */
         abstract T next(ByteBuffer bytes) throws Malformed;
@@ -137,6 +151,28 @@
             return outbox;
         }
 
+        final boolean isEnded() {
+            return ended;
+        }
+
+        /**
+         * Guards against answers that a reset takes with it: the end goes out behind the last of them, then what
+         * still comes is read and passed over until the other side ends too. The host bounds the time for it.
+         */
+        private void end() {
+            ended = true;
+            over = true;
+            outbox.onceWritten(() -> decider.tell(() -> {
+                outputOver = true;
+                if (inputOver) {
+                    outbox.closeNow();
+                } else {
+                    outbox.endOutput();
+                    host.written(id);
+                }
+            }));
+        }
+
         @Override
         public void opened(IoSession session) {
             decider.tell(() -> {
@@ -199,12 +235,24 @@
         public void inputClosed(IoSession session) {
             session.suspendRead();
             decider.tell(() -> {
-                if (id != null) {
+                inputOver = true;
+                if (outputOver) {
+                    outbox.closeNow();
+                } else if (id != null) {
                     host.halfClosed(id);
                 }
             });
         }
 
+        @Override
+        public void malformed(IoSession session) {
+            decider.tell(() -> {
+                if (id != null) {
+                    host.malformed(id);
+                }
+            });
+        }
+
         @Override
         public void closed(boolean malformed) {
             decider.tell(() -> {
--- a/src/main/java/lupinwood/net/LineParser.java
+++ b/src/main/java/lupinwood/net/LineParser.java
@@ -84,7 +84,7 @@
     /** A whole number from 0 up. */
     static long number(String word) throws Malformed {
         if (!NUMBER.matcher(word).matches()) {
-            throw new Malformed("no number: " + (word.length() > 40 ? word.substring(0, 40) : word));
+            throw new Malformed("no whole number where one should stand");
         }
         return Long.parseLong(word);
     }
--- a/src/main/java/lupinwood/net/Outbound.java
+++ b/src/main/java/lupinwood/net/Outbound.java
@@ -61,6 +61,11 @@
         session.closeNow();
     }
 
+    @Override
+    public final void malformed(IoSession session) {
+        session.closeNow();
+    }
+
     @Override
     public final void closed(boolean malformed) {
         decider.tell(() -> ended(malformed ? Ending.MALFORMED : Ending.CLOSED_BY_PEER));
--- a/src/main/java/lupinwood/net/Outbox.java
+++ b/src/main/java/lupinwood/net/Outbox.java
@@ -3,12 +3,15 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.IoSession;
 
 /** What gathers for one connection in a round of deciding; it goes out in one write. */
 final class Outbox {
     private final IoSession session;
     private final ByteArrayOutputStream gathered = new ByteArrayOutputStream(256);
+    /** The latest that went to the socket thread; null before the first. */
+    private WriteFuture latest;
 
     Outbox(IoSession session) {
         this.session = session;
@@ -25,7 +28,7 @@
 
     void flush() {
         if (gathered.size() > 0) {
-            session.write(IoBuffer.wrap(gathered.toByteArray()));
+            latest = session.write(IoBuffer.wrap(gathered.toByteArray()));
             gathered.reset();
         }
     }
@@ -43,8 +46,19 @@
         session.closeNow();
     }
 
-    void closeOnFlush() {
+    /** Once all that was added has gone out, or can't any more; on the socket thread, or at once. */
+    void onceWritten(Runnable job) {
         flush();
-        session.closeOnFlush();
+        if (latest == null) {
+            job.run();
+        } else {
+            latest.addListener(written -> job.run());
+        }
+    }
+
+    /** The other side sees the end of what comes from here, after all of it; reading goes on. */
+    void endOutput() {
+        HalfClose.output(session);
+        session.resumeRead();
     }
 }
--- a/src/main/java/lupinwood/net/Peer.java
+++ b/src/main/java/lupinwood/net/Peer.java
@@ -12,5 +12,8 @@
     /** The other side sends no more. */
     void inputClosed(IoSession session);
 
+    /** What came can't be read, and nothing after it will be; told after all that could be. */
+    void malformed(IoSession session);
+
     void closed(boolean malformed);
 }
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import lupinwood.core.Deadlines;
@@ -22,16 +23,27 @@
 /** One real node: its sockets, its deciding thread, and how it leaves. */
 public final class Serving {
     private static final int TICKETS = 8192;
+    private static final int RECEIPTS = 16384;
     private static final long RECEIPT_BYTES = 8 * 1024 * 1024;
     /** Descriptors kept for the process itself and for its links, where there are enough. */
     private static final int OWN_DESCRIPTORS = 64;
     private static final Span LOOK_AGAIN = Span.ofSeconds(0.02);
     /** Without a ticket for so long, dispatchers have learned that this node leaves. */
     private static final Span QUIET = Span.ofSeconds(1);
-    /** At the end dispatchers have this long to close their connections, as they are asked to. */
-    private static final Span TIME_TO_CLOSE = Span.ofSeconds(0.2);
-    /** Before the stop, the process is gone by itself. */
-    private static final Span BEFORE_STOP = Span.ofSeconds(0.2);
+    /**
+     * How the time to the stop is spent: by the first all is answered. The end after it has three parts of one
+     * length: dispatchers close their connections, as they are asked to; those that rest until this side ends them
+     * see the end; and the process is gone by itself. Where the stop comes soon each is a twelfth of the time to it.
+     */
+    record Leaving(Span answered, Span part) {
+        private static final Span LONGEST_PART = Span.ofSeconds(0.2);
+
+        static Leaving within(Span stop) {
+            Span part = stop.times(1.0 / 12).min(LONGEST_PART);
+            return new Leaving(stop.minus(part.times(3)), part);
+        }
+    }
+
     /** The deciding thread takes a step well within this many seconds; past it, it is stuck. */
     private static final long LONGEST_STEP = 30;
     private static final Span FIGURES_EVERY = Span.ofSeconds(10);
@@ -74,12 +86,20 @@
     private final Host host;
     private final CountDownLatch quiet = new CountDownLatch(1);
     private final CountDownLatch left = new CountDownLatch(1);
+    /** Whether the door was opened, and whether the notice to leave has come; under this object's lock. */
+    private boolean open;
+    private boolean told;
 
     public Serving(NodeConfig config, Host.Maker maker, Log log) {
+        this(config, maker, log, System::nanoTime);
+    }
+
+    /** With a clock of the caller's, in nanoseconds, which never goes back. */
+    Serving(NodeConfig config, Host.Maker maker, Log log, LongSupplier steady) {
         this.config = config;
         this.maker = maker;
         this.log = log;
-        decider = new Decider(deadlines, log);
+        decider = new Decider(deadlines, steady, log);
         sockets = new Sockets(log);
         listener = new DispatcherListener(decider, deadlines, log);
         ajp = config.meaning().value("ajp listen") == null ? null
@@ -97,7 +117,7 @@
         host = new Host(config.settings(), config.seed(), maker,
                 new Host.Ports(ajp == null ? listener : new Fronts(listener, ajp),
                         servers == null ? executor : new Works(executor, servers), index, log::line), deadlines,
-                new Host.Bounds(connections, TICKETS, RECEIPT_BYTES), Decider.clock());
+                new Host.Bounds(connections, TICKETS, RECEIPTS, RECEIPT_BYTES), decider.time());
     }
 
     /** What the fleet's word to leave sets going; to be set before {@link #start}. */
@@ -110,8 +130,11 @@
         hands = who;
     }
 
-    /** Listens and serves until told to leave; an address in use is told by the exception. */
-    public void start() throws IOException {
+    /**
+     * Listens and serves until told to leave; an address in use is told by the exception. Told before the door
+     * opens, it never opens it, and returns false.
+     */
+    public boolean start() throws IOException {
         try {
             int answers = WarmUp.play(config.settings(), config.seed(), maker);
             log.line("warmed up by " + answers + " made-up tickets");
@@ -139,14 +162,21 @@
             }
             tellFigures();
         });
-        sockets.listen(config.listen(), listener::newPeer);
-        log.line(config.name() + " listens on " + config.listen());
-        if (ajp != null) {
-            InetSocketAddress also = NodeConfig.address(config.meaning().value("ajp listen"));
-            sockets.listenAlso(also, ajp::newPeer);
-            log.line(config.name() + " listens for AJP on " + also);
+        synchronized (this) {
+            if (told) {
+                return false;
+            }
+            sockets.listen(config.listen(), listener::newPeer);
+            log.line(config.name() + " listens on " + config.listen());
+            if (ajp != null) {
+                InetSocketAddress also = NodeConfig.address(config.meaning().value("ajp listen"));
+                sockets.listenAlso(also, ajp::newPeer);
+                log.line(config.name() + " listens for AJP on " + also);
+            }
+            decider.start(host);
+            open = true;
         }
-        decider.start(host);
+        return true;
     }
 
     private void tellFigures() {
@@ -202,8 +232,8 @@
         if (!stays.isEmpty()) {
             log.line("can't change while the node runs, and stays as it was: " + stays);
         }
-        log.line(taken ? "reloaded: executor " + now.executor() + ", index " + now.index() + ", naming "
-                + now.naming() + (plan.isEmpty() ? "; nothing changed" : "")
+        log.line(taken ? "reloaded: executor " + now.executor()
+                + ", index " + (now.index() == null ? "none" : now.index()) + ", naming " + now.naming() + (plan.isEmpty() ? "; nothing changed" : "")
                 : "nothing reloaded: the node was told to leave");
         return plan;
     }
@@ -220,6 +250,11 @@
         return true;
     }
 
+    /** For who has to hold the order of events. */
+    Decider decider() {
+        return decider;
+    }
+
     /** What the node goes by: the last configuration that was taken over, in what can change while it runs. */
     public NodeConfig goesBy() {
         return config;
@@ -236,23 +271,42 @@
      * refused connection can't tell.
      */
     public void leave() throws InterruptedException {
+        boolean again;
+        synchronized (this) {
+            again = told;
+            told = true;
+            if (!open) {
+                log.line("left before the door opened");
+                return;
+            }
+        }
+        if (again) {
+            left.await(config.stop().nanos(), TimeUnit.NANOSECONDS);
+            return;
+        }
         log.line("told to leave");
         Span stop = config.stop();
+        Leaving parts = Leaving.within(stop);
         if (fleet != null) {
             fleet.leave();
         }
         decider.tell(() -> {
-            host.leave(stop);
+            host.leave(parts.answered());
             naming.leave();
-            Moment last = host.now().plus(stop.minus(BEFORE_STOP).minus(TIME_TO_CLOSE));
-            lookUntil(last, () -> host.isAnswered() && QUIET.compareTo(host.sinceLastTicket()) < 0, quiet);
+            lookUntil(host.now().plus(parts.answered()),
+                    () -> host.isAnswered() && QUIET.compareTo(host.sinceLastTicket()) < 0, quiet);
         });
         quiet.await(stop.nanos(), TimeUnit.NANOSECONDS);
         sockets.stopListening();
+        CountDownLatch closed = new CountDownLatch(1);
         decider.tell(() -> {
             host.closeConnections();
-            lookUntil(host.now().plus(TIME_TO_CLOSE),
-                    () -> host.isAnswered() && host.connectionCount() == 0, left);
+            lookUntil(host.now().plus(parts.part()), this::isEmpty, closed);
+        });
+        closed.await(stop.nanos(), TimeUnit.NANOSECONDS);
+        decider.tell(() -> {
+            host.endConnections();
+            lookUntil(host.now().plus(parts.part()), this::isEmpty, left);
         });
         left.await(stop.nanos(), TimeUnit.NANOSECONDS);
         decider.stop();
@@ -263,6 +317,11 @@
         log.line("left");
     }
 
+    /** Guards against a connection that was accepted and not yet told here: its ticket would end with the process. */
+    private boolean isEmpty() {
+        return host.isAnswered() && host.connectionCount() == 0 && host.connectionsEver() == sockets.accepted();
+    }
+
     private void lookUntil(Moment last, BooleanSupplier done, CountDownLatch told) {
         if (done.getAsBoolean() || !host.now().isBefore(last)) {
             told.countDown();
--- a/src/main/java/lupinwood/net/Sockets.java
+++ b/src/main/java/lupinwood/net/Sockets.java
@@ -32,8 +32,8 @@
 
     private final Log log;
     private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
-    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processor);
-    private final List<NioSocketAcceptor> others = new ArrayList<>();
+    private final Acceptor acceptor = new Acceptor(processor);
+    private final List<Acceptor> others = new ArrayList<>();
     private final NioSocketConnector connector = new NioSocketConnector(processor);
 
     Sockets(Log log) {
@@ -65,20 +65,26 @@
 
     /** Listens at a second address, for another protocol. */
     void listenAlso(InetSocketAddress address, Supplier<Peer> peers) throws IOException {
-        NioSocketAcceptor more = new NioSocketAcceptor(processor);
+        Acceptor more = new Acceptor(processor);
         prepare(more);
         more.setHandler(new Handler(peers));
         others.add(more);
         more.bind(address);
     }
 
+    /** Returns once no connection waits to be accepted any more. */
     void stopListening() {
         acceptor.unbind();
-        others.forEach(NioSocketAcceptor::unbind);
+        others.forEach(Acceptor::unbind);
+    }
+
+    /** How many connections came through all doors so far. */
+    long accepted() {
+        return acceptor.accepted() + others.stream().mapToLong(Acceptor::accepted).sum();
     }
 
     void dispose() {
-        others.forEach(NioSocketAcceptor::dispose);
+        others.forEach(Acceptor::dispose);
         acceptor.dispose();
         connector.dispose();
         processor.dispose();
@@ -125,7 +131,7 @@
             } catch (Malformed e) {
                 log.line("closing the connection with " + session.getRemoteAddress() + ": " + e.getMessage());
                 session.setAttribute(MALFORMED);
-                session.closeNow();
+                peer(session).malformed(session);
             }
         }
 
--- a/src/main/java/lupinwood/net/WarmUp.java
+++ b/src/main/java/lupinwood/net/WarmUp.java
@@ -53,7 +53,7 @@
             customers.add(read.text("customers." + i + ".name"));
         }
         host = new Host(settings, seed, maker, new Host.Ports(this, this, this, line -> { }), deadlines,
-                new Host.Bounds(64, 1024, 1 << 16), now);
+                new Host.Bounds(64, 1024, 1024, 1 << 16), now);
     }
 
     /** Returns how many answers there were. */
--- a/src/test/java/lupinwood/cli/ServeProcessTest.java
+++ b/src/test/java/lupinwood/cli/ServeProcessTest.java
@@ -39,10 +39,14 @@
                 + String.join(" ", options);
         process = new ProcessBuilder("/bin/sh", "-c", command).directory(folder.toFile()).start();
         log = process.errorReader();
-        awaitLine("can't hear SIGHUP|reloads on SIGHUP");
         this.port = port;
+        if (ready) {
+            awaitLine("can't hear SIGHUP|reloads on SIGHUP");
+        }
     }
 
+    private boolean ready = true;
+
     private int port;
 
     private void write(String name, int executorPort, int port) throws IOException {
@@ -70,8 +74,40 @@
         throw new AssertionError("no line like " + pattern + " in " + lines);
     }
 
+    /** 0 unless the process is gone. */
+    private int signal(String name) throws Exception {
+        return new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+    }
+
     private void hangUp() throws Exception {
-        assertThat(new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor()).isZero();
+        assertThat(signal("HUP")).isZero();
+    }
+
+    /** Whichever comes first, the door or the notice: nothing is lost and the process ends as it was asked to. */
+    @Test
+    void aNoticeAtAnyMomentOfTheStartEndsItInGoodOrder() throws Exception {
+        ready = false;
+        start("");
+        awaitLine("warmed up by|no warm-up");
+        signal("TERM");
+        signal("TERM");
+        assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(process.exitValue()).isZero();
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            lines.add(line);
+        }
+        assertThat(lines.get(lines.size() - 1)).endsWith(lines.stream().anyMatch(line -> line.contains("listens on"))
+                ? " left" : "left before the door opened");
+    }
+
+    @Test
+    void anAddressInUseEndsTheProcessWithOneAndSaysSo() throws Exception {
+        start("");
+        Process second = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xshare:auto", "-cp",
+                System.getProperty("java.class.path"), "lupinwood.cli.Main", "serve", "--config", "config.json")
+                .directory(folder.toFile()).redirectErrorStream(true).start();
+        assertThat(new String(second.getInputStream().readAllBytes())).containsPattern("can't listen on .*:" + port);
+        assertThat(second.waitFor()).isEqualTo(1);
     }
 
     @AfterEach
--- a/src/test/java/lupinwood/core/HostTest.java
+++ b/src/test/java/lupinwood/core/HostTest.java
@@ -18,6 +18,7 @@
     private final Deadlines deadlines = new Deadlines();
     private Moment now = new Moment(1_000_000_000_000L);
     private boolean linked = true;
+    private boolean takesAnswers = true;
     private int onCores = 9;
     private Host host;
     private ConnectionId line;
@@ -46,7 +47,7 @@
 
     private void make(long receiptBytes) {
         host = new Host(machine.settings, 7, Brain::new, new Host.Ports(this, this, this, this::log),
-                deadlines, new Host.Bounds(4, 40, receiptBytes), now);
+                deadlines, new Host.Bounds(4, 40, 64, receiptBytes), now);
         line = host.connected();
     }
 
@@ -121,6 +122,9 @@
     @Override
     public void close(ConnectionId connection, Ending why) {
         say("close " + (connection.number() & 0xff) + " " + why);
+        if (takesAnswers && why != Ending.SLOW_READER && why != Ending.MADE_ROOM) {
+            host.written(connection);
+        }
     }
 
     @Override
@@ -233,6 +237,7 @@
                 3000 no more
                 7000 4 SATISFIED result
                 8000 close 0 CLOSED_HERE
+                8500 close 0 SLOW_READER
                 9000 run 5 a
                 """);
     }
@@ -325,6 +330,53 @@
                 """);
     }
 
+    @Test
+    void whatIsDroppedForRoomIsTheOldestResultAndNeverThatOfWhatRuns() {
+        make(20);
+        host.welcomed(false, Span.ZERO);
+        long runs = arrive("token", "a", "body");
+        for (String mark : List.of("b", "c", "d")) {
+            exit(arrive("token", mark, ""), Ending.WELL, "12345678");
+        }
+        trace.setLength(0);
+        for (String mark : List.of("b", "c", "d")) {
+            arrive("token", mark, "");
+        }
+        exit(runs, Ending.WELL, "1234");
+        arrive("token", "c", "");
+        arrive("token", "a", "body");
+        assertThat(printed()).isEqualTo("""
+                0 5 ABANDONED
+                0 6 SATISFIED 12345678
+                0 7 SATISFIED 12345678
+                0 1 SATISFIED 1234
+                0 8 ABANDONED
+                0 9 SATISFIED 1234
+                """);
+    }
+
+    @Test
+    void aMarkThatThereIsNoRoomToRememberIsBouncedAndRepeatsOfOthersAreServed() {
+        start();
+        for (int mark = 0; mark < 64; mark++) {
+            exit(arrive("token", "m" + mark, ""), Ending.WELL, "r");
+        }
+        trace.setLength(0);
+        arrive("token", "one more", "");
+        arrive("token", "m0", "");
+        arrive("pure", null, "p");
+        assertThat(printed()).isEqualTo("""
+                0 log bounced a ticket whose mark there is no room to remember
+                0 65 BOUNCED
+                0 66 SATISFIED r
+                0 run 67 p
+                """);
+        pass(30_000);
+        line = host.connected();
+        arrive("token", "one more", "");
+        assertThat(printed()).endsWith("run 68 \n");
+    }
+
     @Test
     void aReplacedLinkRunsAgainOnlyWhatCannotRunTwice() {
         start();
@@ -401,6 +453,7 @@
                 0 log abandoned a ticket of no known track
                 0 1 ABANDONED
                 0 close 1 UNSOUND
+                0 2 BOUNCED
                 0 run 3 b
                 0 log the executor did not carry out EXEC 0000000000000003
                 0 3 ABANDONED
@@ -638,6 +691,30 @@
                 4500 close 0 SLOW_READER
                 7000 no more
                 12000 close 1 CLOSED_HERE
+                12500 close 1 SLOW_READER
+                """);
+    }
+
+    @Test
+    void whoReadsItsLastAnswersSlowlyHasAsLongForItAsAnyoneWaits() {
+        start();
+        takesAnswers = false;
+        arrive("no such track", null, "");
+        line = host.connected();
+        arrive("no such track", null, "");
+        pass(1000);
+        host.written(line);
+        pass(60_000);
+        assertThat(printed()).isEqualTo("""
+                0 log abandoned a ticket of no known track
+                0 1 ABANDONED
+                0 log abandoned a ticket of no known track
+                0 2 ABANDONED
+                0 close 1 UNSOUND
+                1500 close 1 SLOW_READER
+                3000 no more
+                8000 close 0 CLOSED_HERE
+                13000 close 0 SLOW_READER
                 """);
     }
 
--- /dev/null
+++ b/src/test/java/lupinwood/net/CrossingsTest.java
@@ -0,0 +1,507 @@
+package lupinwood.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.*;
+import java.net.*;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import lupinwood.Brain;
+import lupinwood.log.WallClock;
+import lupinwood.node.*;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What crosses what: each order of events is held by a latch, a clock or a peer of the test's. */
+final class CrossingsTest extends SocketTest {
+    /** As many pieces of news as the deciding thread takes in one round. */
+    private static final int A_ROUND = 256;
+
+    private final AtomicLong skipped = new AtomicLong();
+    private final List<CountDownLatch> held = new ArrayList<>();
+
+    @AfterEach
+    void letGo() {
+        held.forEach(CountDownLatch::countDown);
+        WallClock.readFrom(Instant::now);
+    }
+
+    /** The node's own clock goes on at once by so much; what is due then is done. */
+    private void skip(double seconds) {
+        skipped.addAndGet((long) (seconds * 1e9));
+        serving.decider().tell(() -> { });
+    }
+
+    /** The clock that stamps tickets is set, by so much beside the true one. */
+    private static void setWallClock(Duration beside) {
+        WallClock.readFrom(() -> Instant.now().plus(beside));
+    }
+
+    private void startWithOwnClock() throws Exception {
+        steady = () -> System.nanoTime() + skipped.get();
+        start();
+    }
+
+    /** Keeps the deciding thread until the latch that is returned is down; it is kept once this returns. */
+    private CountDownLatch hold() throws InterruptedException {
+        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch here = new CountDownLatch(1);
+        held.add(go);
+        serving.decider().tell(() -> {
+            here.countDown();
+            await(go);
+        });
+        await(here);
+        return go;
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(PATIENCE_MS, TimeUnit.MILLISECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private End connect() throws IOException {
+        return new End(new Socket(listen.getAddress(), listen.getPort()));
+    }
+
+    private static String unsound(int tag) {
+        return ticket(tag, "look", "b", ",owner=nobody");
+    }
+
+    private Thread leave() {
+        Thread leaving = new Thread(() -> {
+            try {
+                serving.leave();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        leaving.start();
+        return leaving;
+    }
+
+    // ---- close ----
+
+    @Test
+    void aTicketThatCrossesTheCloseOfItsSilentConnectionDoesNotRun() throws Exception {
+        startWithOwnClock();
+        End other = dispatcher();
+        End silent = connect();
+        dispatcher();
+        CountDownLatch go = hold();
+        for (int i = 0; i < A_ROUND; i++) {
+            serving.decider().tell(() -> { });
+        }
+        silent.say(ticket(101, "look", "crossing"));
+        until(() -> serving.decider().waiting() > A_ROUND);
+        skipped.addAndGet(2_000_000_000L);
+        go.countDown();
+        untilLogged("SAID_NOTHING");
+        other.say(ticket(102, "look", "next"));
+        expectRun(102, "look", "next");
+        assertThat(silent.answer()).as("never run: refused, or the end alone").isIn("101 NAK +", null);
+        assertThat(silent.isOver()).isTrue();
+    }
+
+    @Test
+    void ticketsReadWithTheOneThatEndsTheirConnectionAreAnsweredAndDoNotRun() throws Exception {
+        start();
+        End caller = dispatcher();
+        caller.say(unsound(300) + ticket(301, "look", "c") + ticket(302, "pay", "d"));
+        assertThat(caller.answer()).isEqualTo("300 FAIL +");
+        assertThat(caller.answer()).isEqualTo("301 NAK +");
+        assertThat(caller.answer()).isEqualTo("302 NAK +");
+        assertThat(caller.isOver()).isTrue();
+        dispatcher().say(ticket(303, "look", "next"));
+        expectRun(303, "look", "next");
+    }
+
+    @Test
+    void whatCannotBeReadEndsItsConnectionOnceTheAnswersOwedWentOutAndIsNamedOnceWithoutItsBytes() throws Exception {
+        start();
+        End caller = callerWithRun();
+        caller.say(ticket(102, "look", "b") + array("ABORT", "secret-word") + ticket(103, "look", "never read"));
+        expectRun(102, "look", "b");
+        exit(1, 102, "two");
+        exit(2, 101, "one");
+        assertThat(caller.answer()).isEqualTo("102 ACK + two");
+        assertThat(caller.answer()).isEqualTo("101 ACK + one");
+        assertThat(caller.isOver()).isTrue();
+        log.drain();
+        assertThat(logged.toString()).containsOnlyOnce("closing the connection with").doesNotContain("secret-word");
+    }
+
+    /** A socket that is closed over unread bytes is reset, and the reset takes with it what is still on its way. */
+    @Test
+    void answersBeforeACloseOutliveWhatTheCallerStillSends() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch ending = new CountDownLatch(1);
+        held.add(go);
+        // The round in which the last ticket is found unsound stands still before it writes.
+        maker = (server, seed, told) -> new Held(new Brain(server, seed, told), () -> {
+            log.drain();
+            if (logged.toString().contains("of no known customer")) {
+                ending.countDown();
+                await(go);
+            }
+        });
+        start();
+        dispatcher();
+        try (SocketChannel caller = SocketChannel.open()) {
+            caller.setOption(StandardSocketOptions.SO_RCVBUF, 2048); // most of the answers wait on the node's side
+            caller.connect(listen);
+            StringBuilder tickets = new StringBuilder();
+            for (int i = 0; i < 2; i++) {
+                tickets.append(ticket(101 + i, "look", "a"));
+            }
+            write(caller, tickets.toString());
+            String result = "r".repeat(4096);
+            for (int i = 0; i < 2; i++) {
+                expectRun(101 + i, "look", "a");
+            }
+            for (int i = 0; i < 2; i++) {
+                exit(1 + i, 101 + i, result);
+            }
+            until(() -> serving.figures().contains(", open 0,"));
+            for (int strike = 0; strike < 16; strike++) {
+                write(caller, unsound(300 + strike));
+            }
+            await(ending);
+            caller.configureBlocking(false);
+            ByteBuffer more = ByteBuffer.wrap(array("ABORT", "999").repeat(100).getBytes(StandardCharsets.ISO_8859_1));
+            for (int i = 0; i < 256; i++) {
+                caller.write(more.rewind());
+            }
+            go.countDown();
+            // Only then is anything read: what a reset takes with it is gone by now.
+            until(() -> serving.figures().startsWith("connections 1,"));
+            caller.configureBlocking(true);
+            End end = new End(caller.socket());
+            for (int i = 0; i < 2; i++) {
+                assertThat(end.answer()).isEqualTo((101 + i) + " ACK + " + result);
+            }
+            for (int strike = 0; strike < 16; strike++) {
+                assertThat(end.answer()).isEqualTo((300 + strike) + " FAIL +");
+            }
+            assertThat(end.in().read()).as("the end, and no reset").isEqualTo(-1);
+        }
+    }
+
+    private static void write(SocketChannel to, String text) throws IOException {
+        to.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    /** The node of a test: the real one, and a job at the end of each round. */
+    private record Held(Node node, Runnable each) implements Node {
+        @Override
+        public Handle take(Ticket ticket) {
+            return node.take(ticket);
+        }
+
+        @Override
+        public void settle() {
+            node.settle();
+            each.run();
+        }
+
+        @Override
+        public void leave(Span until) {
+            node.leave(until);
+        }
+
+        @Override
+        public void wake(Gauges gauges) {
+            node.wake(gauges);
+        }
+
+        @Override
+        public void retune(java.util.Map<String, String> settings) {
+            node.retune(settings);
+        }
+    }
+
+    // ---- shutdown ----
+
+    @Test
+    void aNoticeBeforeTheDoorOpensKeepsItShut() throws Exception {
+        open();
+        serving.leave();
+        assertThat(serving.start()).isFalse();
+        assertThatThrownBy(() -> new Socket(listen.getAddress(), listen.getPort())).isInstanceOf(ConnectException.class);
+    }
+
+    @Test
+    void whoWaitsToBeAcceptedAsTheDoorClosesIsLetIn() throws Exception {
+        CountDownLatch first = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+        Acceptor acceptor = new Acceptor(processor) {
+            @Override
+            protected NioSession accept(IoProcessor<NioSession> by, java.nio.channels.ServerSocketChannel from)
+                    throws Exception {
+                NioSession session = super.accept(by, from);
+                first.countDown();
+                await(go);
+                return session;
+            }
+        };
+        acceptor.setCloseOnDeactivation(false);
+        acceptor.setHandler(new IoHandlerAdapter() {
+            @Override
+            public void messageReceived(IoSession session, Object message) {
+                session.write(IoBuffer.wrap("heard\n".getBytes(StandardCharsets.US_ASCII)));
+            }
+        });
+        acceptor.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        InetSocketAddress at = acceptor.getLocalAddress();
+        List<End> callers = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            callers.add(new End(new Socket(at.getAddress(), at.getPort())));
+            callers.get(i).say("ticket " + i);
+        }
+        await(first);
+        CompletableFuture<Void> closed = CompletableFuture.runAsync(acceptor::unbind);
+        until(() -> !acceptor.isActive() || go.getCount() > 0);
+        go.countDown();
+        closed.get();
+        for (End caller : callers) {
+            assertThat(caller.line()).isEqualTo("heard");
+        }
+        assertThat(acceptor.accepted()).isEqualTo(4);
+        acceptor.dispose();
+        processor.dispose();
+    }
+
+    @Test
+    void howeverSoonTheStopComesAllThatWasReadIsAnsweredBeforeIt() throws Exception {
+        for (int stop : new int[] {300, 1000, 2000}) {
+            stopMs = stop;
+            start();
+            End caller = callerWithRun();
+            End resting = dispatcher();
+            Thread leaving = leave();
+            assertThat(caller.answer()).as("stop after %d ms", stop).isEqualTo("101 FAIL +");
+            assertThat(caller.answer()).isEqualTo("0 FIN");
+            assertThat(resting.answer()).isEqualTo("0 FIN");
+            assertThat(resting.in().read()).as("rests until the node ends it").isEqualTo(-1);
+            leaving.join(PATIENCE_MS);
+            stop();
+        }
+        for (long stop = 1_000_000; stop < 3_600_000_000_000L; stop += stop / 3) {
+            Serving.Leaving parts = Serving.Leaving.within(new Span(stop));
+            assertThat(parts.part()).isGreaterThan(Span.ZERO);
+            assertThat(parts.answered()).isGreaterThanOrEqualTo(new Span(stop).times(0.74));
+            // The last part is what is left before the stop.
+            assertThat(parts.answered().plus(parts.part().times(2))).isLessThan(new Span(stop));
+        }
+    }
+
+    @Test
+    void whoRestsUntilTheNodeEndsItIsNotResetByWhatItSendsThenAndNothingOfItRuns() throws Exception {
+        AtomicLong now = new AtomicLong(System.nanoTime());
+        steady = now::get; // stands still but for the test
+        start();
+        End resting = dispatcher();
+        Thread leaving = leave();
+        untilLogged("told to leave");
+        until(() -> {
+            resting.say(array("HEALTH", "9"));
+            return resting.answer().startsWith("9 RED");
+        });
+        go(now, 1.1);
+        assertThat(resting.answer()).isEqualTo("0 FIN");
+        resting.say(ticket(101, "look", "after the wish to close"));
+        assertThat(resting.answer()).startsWith("101 NAK");
+        go(now, 0.2);
+        assertThat(resting.in().read()).as("the end").isEqualTo(-1);
+        resting.say(ticket(102, "look", "after the end"));
+        // The first word after a reset is taken, the second is not.
+        resting.say(ticket(103, "look", "after the end").substring(0, 40));
+        go(now, 0.2);
+        leaving.join(PATIENCE_MS);
+        for (String line = lineOrEnd(executor); line != null; line = lineOrEnd(executor)) {
+            assertThat(line).as("nothing is run").startsWith("METER ");
+        }
+    }
+
+    private void go(AtomicLong clock, double seconds) {
+        clock.addAndGet((long) (seconds * 1e9));
+        serving.decider().tell(() -> { });
+    }
+
+    private static String lineOrEnd(End end) {
+        try {
+            return end.line();
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    @Test
+    void theSecondNoticeWaitsForTheFirst() throws Exception {
+        stopMs = 3000;
+        start();
+        End caller = callerWithRun();
+        Thread one = leave();
+        untilLogged("told to leave");
+        Thread two = leave();
+        exit(1, 101, "done");
+        assertThat(caller.answer()).isEqualTo("101 ACK + done");
+        caller.socket.close();
+        one.join(PATIENCE_MS);
+        two.join(PATIENCE_MS);
+        log.drain();
+        assertThat(logged.toString()).containsOnlyOnce("told to leave").containsOnlyOnce(" left");
+    }
+
+    // ---- lists and reports ----
+
+    private static String report(End naming) throws IOException {
+        assertThat(naming.line()).isEqualTo("PUT /ns/hosts/n1 HTTP/1.1");
+        while (!naming.line().isEmpty()) {
+            // the other headers
+        }
+        String body = naming.bytes("{\"serving\":\"no\"}".length());
+        return body.endsWith("}") ? body : body + naming.bytes(1);
+    }
+
+    @Test
+    void theLastReportIsSaidAgainAfterAnEarlierOneThatMayHaveOvertakenIt() throws Exception {
+        startWithOwnClock();
+        End slow = namingPlace.accept();
+        assertThat(report(slow)).contains("yes");
+        Thread leaving = leave();
+        End last = namingPlace.accept();
+        assertThat(report(last)).contains("no");
+        last.say("HTTP/1.1 204 No Content\r\n\r\n");
+        slow.say("HTTP/1.1 204 No Content\r\n\r\n");
+        CompletableFuture<String> again = new CompletableFuture<>();
+        for (End line : List.of(slow, last)) {
+            Thread reads = new Thread(() -> {
+                try {
+                    again.complete(report(line));
+                    line.say("HTTP/1.1 204 No Content\r\n\r\n");
+                } catch (IOException | AssertionError e) {
+                    // The other line has it.
+                }
+            });
+            reads.start();
+        }
+        assertThat(again.get(PATIENCE_MS, TimeUnit.MILLISECONDS)).contains("no");
+        leaving.join(PATIENCE_MS);
+    }
+
+    @Test
+    void theLastReportFindsItsWayPastFourThatNobodyAnswered() throws Exception {
+        AtomicLong now = new AtomicLong(System.nanoTime());
+        steady = now::get; // stands still, so that none is given up
+        start();
+        assertThat(report(namingPlace.accept())).contains("yes");
+        for (int i = 0; i < 3; i++) {
+            Place before = namingPlace;
+            namingPlace = new Place();
+            serving.reload(config());
+            assertThat(report(namingPlace.accept())).contains("yes");
+            before.close();
+        }
+        Thread leaving = leave();
+        assertThat(report(namingPlace.accept())).contains("no");
+        go(now, 15);
+        leaving.join(PATIENCE_MS);
+    }
+
+    // ---- clocks ----
+
+    @Test
+    void aClockThatIsSetBackStallsNoAnswerAndOneSetForwardTakesNoTime() throws Exception {
+        startWithOwnClock();
+        End caller = callerWithRun();
+        setWallClock(Duration.ofHours(1));
+        caller.say(array("HEALTH", "7"));
+        assertThat(caller.answer()).isEqualTo("7 GREEN +");
+        exit(1, 101, "in time");
+        assertThat(caller.answer()).isEqualTo("101 ACK + in time");
+        setWallClock(Duration.ofHours(-1));
+        caller.say(array("REQ", "102", "look", String.format("req=%016x,ts=%d,via=1,owner=acme,need=20.5,level=0.5", 102,
+                WallClock.now().toEpochMilli()), "b"));
+        expectRun(102, "look", "b");
+        skip(10);
+        assertThat(caller.answer()).isEqualTo("102 FAIL +");
+    }
+
+    @Test
+    void theWindowCountsInTheClockThatStampsTickets() throws Exception {
+        startWithOwnClock();
+        End caller = dispatcher();
+        caller.say(ticket(101, "pay", "p"));
+        expectRun(101, "pay", "p");
+        exit(1, 101, "paid");
+        assertThat(caller.answer()).isEqualTo("101 ACK + paid");
+        // Set back by 30 s, more than window and abandon time: by its stamp the next try is within the window.
+        setWallClock(Duration.ofSeconds(-30));
+        skip(25);
+        caller = dispatcher();
+        caller.say(stamped(102, WallClock.now()));
+        assertThat(caller.answer()).isIn("102 ACK + paid", "102 FAIL +");
+        // Set forward past the window it is a new one.
+        setWallClock(Duration.ofSeconds(60));
+        caller.say(stamped(103, WallClock.now()));
+        expectRun(103, "pay", "p");
+    }
+
+    private static String stamped(int tag, Instant when) {
+        return array("REQ", "" + tag, "pay", String.format(
+                "req=%016x,ts=%d,via=1,owner=acme,need=20.5,level=0.5,opkey=ab12", tag, when.toEpochMilli()), "p");
+    }
+
+    // ---- configurations ----
+
+    @Test
+    void aNodeWithNothingBelowNeedsNoIndex() throws Exception {
+        settings = SETTINGS.replace("one_for_all", "off").replace("\"calls_out\": 2.0", "\"calls_out\": 0.0")
+                .replace("[true, true]", "[false, false]");
+        withoutIndex = true;
+        start();
+        End caller = callerWithRun();
+        exit(1, 101, "done");
+        assertThat(caller.answer()).isEqualTo("101 ACK + done");
+        serving.reload(config());
+        log.drain();
+        assertThat(logged.toString()).contains("index none");
+        assertThatThrownBy(() -> read(text().replace("\"below\": \"off\"", "\"below\": \"one_for_all\"")))
+                .hasMessageContaining("'index' is missing");
+    }
+
+    @Test
+    void aRunThatAsksForACallWhereNothingIsBelowEndsAtOnce() throws Exception {
+        settings = SETTINGS.replace("one_for_all", "off").replace("[true, true]", "[false, false]");
+        withoutIndex = true;
+        start();
+        End caller = callerWithRun();
+        callOut(1, 101);
+        assertThat(caller.answer()).isEqualTo("101 FAIL +");
+        log.drain();
+        assertThat(logged.toString()).doesNotContain("a step failed");
+    }
+}
--- a/src/test/java/lupinwood/net/ServingTest.java
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -18,214 +18,12 @@
 import lupinwood.log.Log;
 import lupinwood.node.*;
 import org.junit.jupiter.api.*;
-import org.junit.jupiter.api.io.TempDir;
-
-/** A node on loopback sockets; the test plays all others by hand. */
-final class ServingTest {
-    private static final int PATIENCE_MS = 20_000;
-    private static final String SETTINGS = """
-            {"domain": {"cpus": 2, "memory_kb": 100000.0, "run_mem_factor": 4.0, "entry_kb": 1.0,
-              "calls_out": 2.0, "below": "one_for_all", "class_calls": [true, true],
-              "advert": "allowance", "upstreams": 1,
-              "gauges": ["core_use", "on_cores"], "keepalive_max_ns": 30000000000, "linger_ns": 200000000,
-              "stop_mode": "off"}, "step_ns": 4000000, "azs": ["a b", "c"],
-             "rules": {"fall_multiple": 5.0, "fall_ns": 2000000000, "drain_grace_ns": 2},
-             "customers": [{"name": "acme", "quota_rps": 54.0}], "bounds": {"max_retry_after_ns": 1000000000},
-             "services": [
-              {"name": "look", "effect": "pure", "aim_ns": 3000000000, "give_up_ns": 9000000000,
-               "worth": 1.0},
-              {"name": "pay", "effect": "token", "aim_ns": 3000000000, "give_up_ns": 9000000000,
-               "window_ns": 9000000000, "worth": 3.0}]}""";
-
-    /** One side of a connection, read by lines and lengths. */
-    private final class End {
-        private final Socket socket;
-        private final InputStream in;
-
-        End(Socket socket) throws IOException {
-            this.socket = socket;
-            opened.add(socket);
-            socket.setSoTimeout(PATIENCE_MS);
-            in = new BufferedInputStream(socket.getInputStream());
-        }
-
-        void say(String text) throws IOException {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-        }
-
-        String bytes(int count) throws IOException {
-            return new String(in.readNBytes(count), StandardCharsets.ISO_8859_1);
-        }
-
-        /** The next line, or null at the end. */
-        String line() throws IOException {
-            StringBuilder line = new StringBuilder();
-            for (int b = in.read(); b != '\n'; b = in.read()) {
-                if (b < 0) {
-                    return null;
-                }
-                line.append((char) b);
-            }
-            return line.toString().strip();
-        }
-
-        /** The next line that isn't about gauges; those are answered. */
-        String command() throws IOException {
-            long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
-            String line = line();
-            while (line != null && line.startsWith("METER ") && System.nanoTime() < end) {
-                say("METERS " + line.substring(6) + " 0.5 1\r\n");
-                line = line();
-            }
-            return line;
-        }
-
-        /** The next answer's words; the free value, which changes, is left out. */
-        String answer() throws IOException {
-            String head = line();
-            if (head == null) {
-                return null;
-            }
-            List<String> words = new ArrayList<>();
-            for (int left = Integer.parseInt(head.substring(1)); left > 0; left--) {
-                int length = Integer.parseInt(line().substring(1));
-                words.add(bytes(length));
-                bytes(2);
-            }
-            return String.join(" ", words).replaceAll("signal=[0-9.]+", "+");
-        }
-
-        /** Whether the other side ended it. */
-        boolean isOver() {
-            try {
-                return in.read() < 0;
-            } catch (SocketTimeoutException e) {
-                return false;
-            } catch (IOException e) {
-                return true;
-            }
-        }
-    }
-
-    private final class Place implements Closeable {
-        private final ServerSocket socket;
-
-        Place() throws IOException {
-            socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-            socket.setSoTimeout(PATIENCE_MS);
-        }
-
-        End accept() throws IOException {
-            return new End(socket.accept());
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
-    @TempDir
-    private Path folder;
-    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
-    private final Log log = new Log(new PrintStream(logged, true), Instant::now);
-    private final List<Socket> opened = new ArrayList<>();
-    private Place executorPlace;
-    private Place indexPlace;
-    private Place namingPlace;
-    private InetSocketAddress listen;
-    private Serving serving;
-    private End executor;
 
+/** What a node owes on its sockets when the others behave, and when they don't. */
+final class ServingTest extends SocketTest {
     @BeforeEach
-    void start() throws Exception {
-        executorPlace = new Place();
-        indexPlace = new Place();
-        namingPlace = new Place();
-        try (Place free = new Place()) {
-            listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.socket.getLocalPort());
-        }
-        serving = new Serving(config(), Brain::new, log);
-        serving.start();
-        executor = executorPlace.accept();
-        assertThat(executor.line()).isEqualTo("JOIN 0");
-        executor.say("WELCOME WARM 12\r\n");
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        for (Socket socket : opened) {
-            socket.close();
-        }
-        serving.leave();
-        executorPlace.close();
-        indexPlace.close();
-        namingPlace.close();
-    }
-
-    private NodeConfig config() throws Exception {
-        return read(text());
-    }
-
-    private String text() {
-        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + listen.getPort()
-                + "\",\"executor\":\"127.0.0.1:" + executorPlace.socket.getLocalPort()
-                + "\",\"index\":\"127.0.0.1:"
-                + indexPlace.socket.getLocalPort() + "\",\"naming\":\"127.0.0.1:"
-                + namingPlace.socket.getLocalPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":15000,"
-                + "\"limits\":{\"sockets\":256},\"settings\":" + SETTINGS + "}";
-    }
-
-    private NodeConfig read(String json) throws Exception {
-        return NodeConfig.read(Files.writeString(folder.resolve("config.json"), json));
-    }
-
-    private End dispatcher() throws Exception {
-        End end = new End(new Socket(listen.getAddress(), listen.getPort()));
-        for (int tag = 1; ; tag++) {
-            end.say(array("HEALTH", "" + tag));
-            if (end.answer().equals(tag + " GREEN +")) {
-                return end;
-            }
-            Thread.sleep(5);
-        }
-    }
-
-    private static String array(String... words) {
-        StringBuilder text = new StringBuilder("*" + words.length + "\r\n");
-        for (String word : words) {
-            text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
-        }
-        return text.toString();
-    }
-
-    private static String ticket(int tag, String track, String body) {
-        return ticket(tag, track, body, track.equals("pay") ? ",opkey=ab12" : "");
-    }
-
-    /** With more fields, which count where they are there twice. */
-    private static String ticket(int tag, String track, String body, String more) {
-        String fields = String.format("req=%016x,ts=%d,via=1,owner=acme,need=20.5,level=0.5%s", tag,
-                System.currentTimeMillis(), more);
-        return array("REQ", "" + tag, track, fields, body);
-    }
-
-    private void exit(int notice, int tag, String result) throws IOException {
-        executor.say(String.format("EXIT %d %016x OK 5 %d\r\n%s\r\n", notice, tag, result.length(), result));
-    }
-
-    private void expectRun(int tag, String track, String body) throws IOException {
-        String command = String.format("EXEC %016x %s %d", tag, track, body.length());
-        assertThat(executor.command()).isEqualTo(command);
-        assertThat(executor.bytes(body.length() + 2)).isEqualTo(body + "\r\n");
-    }
-
-    /** A dispatcher whose ticket 101 runs. */
-    private End callerWithRun() throws Exception {
-        End caller = dispatcher();
-        caller.say(ticket(101, "look", "a"));
-        expectRun(101, "look", "a");
-        return caller;
+    void begin() throws Exception {
+        start();
     }
 
     @Test
@@ -253,8 +51,11 @@
         confused.say(ticket(201, "look", "b"));
         expectRun(201, "look", "b");
         confused.say(ticket(201, "look", "b"));
+        untilLogged("a tag that is still open came again");
+        exit(1, 201, "owed");
+        assertThat(confused.answer()).isEqualTo("201 ACK + owed");
         assertThat(confused.isOver()).as("a tag that is still open").isTrue();
-        exit(1, 101, "done");
+        exit(2, 101, "done");
         assertThat(caller.answer()).isEqualTo("101 ACK + done");
         caller.say(array("REQ", "102", "look", "req=zz"));
         assertThat(caller.answer()).isEqualTo("102 FAIL +");
@@ -379,21 +180,6 @@
         assertThat(serving.goesBy().sockets()).isEqualTo(256);
     }
 
-    /** The executor says that the run waits for a call. */
-    private void callOut(int notice, int tag) throws IOException {
-        executor.say(String.format("CALLOUT %d %016x 3\r\nask\r\n", notice, tag));
-    }
-
-    private static void expectCall(End index, int tag) throws IOException {
-        assertThat(index.line()).matches(String.format("GET %016x [0-9]+ 3", tag));
-        assertThat(index.line()).isEqualTo("ask");
-    }
-
-    private void expectReply(int tag, String reply) throws IOException {
-        assertThat(executor.command()).isEqualTo(String.format("RETURN %016x %d", tag, reply.length()));
-        assertThat(executor.bytes(reply.length() + 2)).isEqualTo(reply + "\r\n");
-    }
-
     @Test
     void repliesOfTheIndexCountForTheCallThatIsOutOnTheirConnectionAlone() throws Exception {
         End caller = callerWithRun();
@@ -543,17 +329,17 @@
     @Test
     void theTimeGoesOnWithinARoundAndRoundsAreAMillisecondApart() throws Exception {
         Deadlines deadlines = new Deadlines();
-        Decider decider = new Decider(deadlines, log);
+        Decider decider = new Decider(deadlines, System::nanoTime, log);
         Host host = new Host(config().settings(), 1, Brain::new, new Host.Ports(null, null, null, log::line),
-                deadlines, new Host.Bounds(1, 1, 1), Decider.clock());
+                deadlines, new Host.Bounds(1, 1, 1, 1), decider.time());
         CompletableFuture<Span> behind = new CompletableFuture<>();
-        Moment begun = Decider.clock();
+        Moment begun = decider.time();
         decider.tell(() -> {
-            while (Decider.clock().since(begun).seconds() < 0.5) {
+            while (decider.time().since(begun).seconds() < 0.5) {
                 // a long piece of news
             }
         });
-        decider.tell(() -> behind.complete(Decider.clock().since(host.now())));
+        decider.tell(() -> behind.complete(decider.time().since(host.now())));
         AtomicInteger rounds = new AtomicInteger();
         decider.addWriter(rounds::incrementAndGet);
         decider.start(host);
--- /dev/null
+++ b/src/test/java/lupinwood/net/SocketTest.java
@@ -0,0 +1,278 @@
+package lupinwood.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.*;
+import java.net.*;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.*;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import lupinwood.Brain;
+import lupinwood.core.Host;
+import lupinwood.log.Log;
+import lupinwood.node.*;
+import org.junit.jupiter.api.*;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A node on loopback sockets; the test plays all others by hand. */
+abstract class SocketTest {
+    static final int PATIENCE_MS = 20_000;
+    static final String SETTINGS = """
+            {"domain": {"cpus": 2, "memory_kb": 100000.0, "run_mem_factor": 4.0, "entry_kb": 1.0,
+              "calls_out": 2.0, "below": "one_for_all", "class_calls": [true, true],
+              "advert": "allowance", "upstreams": 1,
+              "gauges": ["core_use", "on_cores"], "keepalive_max_ns": 30000000000, "linger_ns": 200000000,
+              "stop_mode": "off"}, "step_ns": 4000000, "azs": ["a b", "c"],
+             "rules": {"fall_multiple": 5.0, "fall_ns": 2000000000, "drain_grace_ns": 2},
+             "customers": [{"name": "acme", "quota_rps": 54.0}], "bounds": {"max_retry_after_ns": 1000000000},
+             "services": [
+              {"name": "look", "effect": "pure", "aim_ns": 3000000000, "give_up_ns": 9000000000,
+               "worth": 1.0},
+              {"name": "pay", "effect": "token", "aim_ns": 3000000000, "give_up_ns": 9000000000,
+               "window_ns": 9000000000, "worth": 3.0}]}""";
+
+    /** One side of a connection, read by lines and lengths. */
+    final class End {
+        final Socket socket;
+        private final InputStream in;
+
+        End(Socket socket) throws IOException {
+            this.socket = socket;
+            opened.add(socket);
+            socket.setSoTimeout(PATIENCE_MS);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        InputStream in() {
+            return in;
+        }
+
+        void say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        String bytes(int count) throws IOException {
+            return new String(in.readNBytes(count), StandardCharsets.ISO_8859_1);
+        }
+
+        /** The next line, or null at the end. */
+        String line() throws IOException {
+            StringBuilder line = new StringBuilder();
+            for (int b = in.read(); b != '\n'; b = in.read()) {
+                if (b < 0) {
+                    return null;
+                }
+                line.append((char) b);
+            }
+            return line.toString().strip();
+        }
+
+        /** The next line that isn't about gauges; those are answered. */
+        String command() throws IOException {
+            long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+            String line = line();
+            while (line != null && line.startsWith("METER ") && System.nanoTime() < end) {
+                say("METERS " + line.substring(6) + " 0.5 1\r\n");
+                line = line();
+            }
+            return line;
+        }
+
+        /** The next answer's words; the free value, which changes, is left out. */
+        String answer() throws IOException {
+            String head = line();
+            if (head == null) {
+                return null;
+            }
+            List<String> words = new ArrayList<>();
+            for (int left = Integer.parseInt(head.substring(1)); left > 0; left--) {
+                int length = Integer.parseInt(line().substring(1));
+                words.add(bytes(length));
+                bytes(2);
+            }
+            return String.join(" ", words).replaceAll("signal=[0-9.]+", "+");
+        }
+
+        /** Whether the other side ended it. */
+        boolean isOver() {
+            try {
+                return in.read() < 0;
+            } catch (SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true;
+            }
+        }
+    }
+
+    final class Place implements Closeable {
+        final ServerSocket socket;
+
+        Place() throws IOException {
+            socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            socket.setSoTimeout(PATIENCE_MS);
+        }
+
+        End accept() throws IOException {
+            return new End(socket.accept());
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    @TempDir
+    Path folder;
+    final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    final Log log = new Log(new PrintStream(logged, true), Instant::now);
+    final List<Socket> opened = new ArrayList<>();
+    Place executorPlace;
+    Place indexPlace;
+    Place namingPlace;
+    InetSocketAddress listen;
+    Serving serving;
+    End executor;
+
+    /** How the node's own clock runs, how it decides, and what it is told. */
+    LongSupplier steady = System::nanoTime;
+    Host.Maker maker = Brain::new;
+    String settings = SETTINGS;
+    int stopMs = 15_000;
+    boolean withoutIndex;
+
+    void open() throws Exception {
+        executorPlace = new Place();
+        indexPlace = new Place();
+        namingPlace = new Place();
+        try (Place free = new Place()) {
+            listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.socket.getLocalPort());
+        }
+        serving = new Serving(config(), maker, log, steady);
+    }
+
+    void start() throws Exception {
+        open();
+        serving.start();
+        executor = executorPlace.accept();
+        assertThat(executor.line()).isEqualTo("JOIN 0");
+        executor.say("WELCOME WARM 12\r\n");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (Socket socket : opened) {
+            socket.close();
+        }
+        if (serving == null) {
+            return;
+        }
+        serving.leave();
+        executorPlace.close();
+        indexPlace.close();
+        namingPlace.close();
+    }
+
+    NodeConfig config() throws Exception {
+        return read(text());
+    }
+
+    String text() {
+        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + listen.getPort()
+                + "\",\"executor\":\"127.0.0.1:" + executorPlace.socket.getLocalPort()
+                + (withoutIndex ? "" : "\",\"index\":\"127.0.0.1:" + indexPlace.socket.getLocalPort()) + "\",\"naming\":\"127.0.0.1:"
+                + namingPlace.socket.getLocalPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":" + stopMs + ","
+                + "\"limits\":{\"sockets\":256},\"settings\":" + settings + "}";
+    }
+
+    NodeConfig read(String json) throws Exception {
+        return NodeConfig.read(Files.writeString(folder.resolve("config.json"), json));
+    }
+
+    End dispatcher() throws Exception {
+        End end = new End(new Socket(listen.getAddress(), listen.getPort()));
+        for (int tag = 1; ; tag++) {
+            end.say(array("HEALTH", "" + tag));
+            if (end.answer().equals(tag + " GREEN +")) {
+                return end;
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    static String array(String... words) {
+        StringBuilder text = new StringBuilder("*" + words.length + "\r\n");
+        for (String word : words) {
+            text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        return text.toString();
+    }
+
+    static String ticket(int tag, String track, String body) {
+        return ticket(tag, track, body, track.equals("pay") ? ",opkey=ab12" : "");
+    }
+
+    /** With more fields, which count where they are there twice. */
+    static String ticket(int tag, String track, String body, String more) {
+        String fields = String.format("req=%016x,ts=%d,via=1,owner=acme,need=20.5,level=0.5%s", tag,
+                System.currentTimeMillis(), more);
+        return array("REQ", "" + tag, track, fields, body);
+    }
+
+    void exit(int notice, int tag, String result) throws IOException {
+        executor.say(String.format("EXIT %d %016x OK 5 %d\r\n%s\r\n", notice, tag, result.length(), result));
+    }
+
+    void expectRun(int tag, String track, String body) throws IOException {
+        String command = String.format("EXEC %016x %s %d", tag, track, body.length());
+        assertThat(executor.command()).isEqualTo(command);
+        assertThat(executor.bytes(body.length() + 2)).isEqualTo(body + "\r\n");
+    }
+
+    /** A dispatcher whose ticket 101 runs. */
+    End callerWithRun() throws Exception {
+        End caller = dispatcher();
+        caller.say(ticket(101, "look", "a"));
+        expectRun(101, "look", "a");
+        return caller;
+    }
+
+    /** The executor says that the run waits for a call. */
+    void callOut(int notice, int tag) throws IOException {
+        executor.say(String.format("CALLOUT %d %016x 3\r\nask\r\n", notice, tag));
+    }
+
+    static void expectCall(End index, int tag) throws IOException {
+        assertThat(index.line()).matches(String.format("GET %016x [0-9]+ 3", tag));
+        assertThat(index.line()).isEqualTo("ask");
+    }
+
+    void expectReply(int tag, String reply) throws IOException {
+        assertThat(executor.command()).isEqualTo(String.format("RETURN %016x %d", tag, reply.length()));
+        assertThat(executor.bytes(reply.length() + 2)).isEqualTo(reply + "\r\n");
+    }
+
+    interface Fact {
+        boolean holds() throws Exception;
+    }
+
+    /** Waits for what others do, for as long as a test may last; what is then still false fails. */
+    static void until(Fact fact) throws Exception {
+        long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+        while (!fact.holds() && System.nanoTime() < end) {
+            Thread.onSpinWait();
+        }
+        assertThat(fact.holds()).isTrue();
+    }
+
+    void untilLogged(String text) throws Exception {
+        until(() -> {
+            log.drain();
+            return logged.toString().contains(text);
+        });
+    }
+}
