Keep what was read late, small or early within its bounds and its window

Found by reading for what comes between two lines; each with the lines at fault, and a test that was seen to fail without the change but where said. - Brain.remember left out a keyed ticket read after its own window: a second try stamped within that window, read later still, ran too (rule 2; windows shorter than the abandon time). It is remembered for the tries still unread. HostTest.aTryReadAfterItsOwnWindow... - Receipts.remember dropped an earlier try past its window that still ran; the repeats that waited for it were abandoned at the last moment. It stays until its own time. HostTest.repeatsThatWait... - Decider's inbox was bounded in reads: 1,024 reads of 600 small messages are some 40 MB of objects. It holds 1 MB of what was read. CrossingsTest.aFloodOfSmallMessages... - Host went through its whole table at each reading of the gauges; it goes through those given to run. - A SIGHUP before the node listened was lost, or ended the process where no handler stood yet.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -359,13 +359,12 @@
         }
 
         void remember() {
-            Span left = reached.plus(track.says.window()).since(server.now());
-            if (left.isPositive()) {
-                usedKb += entryKb;
-                remembered.put(ticket.id(), this);
-                server.remember(ticket.id(), left.plus(step));
-                alarms.in(left.plus(step).plus(step), this::unremember);
-            }
+            // Rule 2: a window that went by unread still has tries in it that are unread too.
+            Span left = reached.plus(track.says.window()).since(server.now()).max(Span.ZERO);
+            usedKb += entryKb;
+            remembered.put(ticket.id(), this);
+            server.remember(ticket.id(), left.plus(step));
+            alarms.in(left.plus(step).plus(step), this::unremember);
         }
 
         boolean unremember() {
--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -42,11 +42,11 @@
 
     /** The exit status; other than 0 where it could not start. */
     private volatile int endsWith;
-    /** Null before the node serves. */
-    private volatile Reloader reloader;
-
     @Override
     public int run() {
+        Relay hangup = new Relay();
+        // First of all: unheard, the signal would end the process.
+        boolean heard = Hangup.onEach(hangup::signal);
         String path = file != null ? file : System.getenv("RELAY_CONFIG");
         if (path == null || path.isEmpty()) {
             System.err.println("lupinwood: no configuration: give --config or set RELAY_CONFIG");
@@ -72,7 +72,6 @@
         if (inFleet) {
             config = ((TextAtStart) agreed).config();
         }
-        boolean heard = Hangup.onEach(this::reload);
         Serving node = new Serving(config, Brain::new, log);
         // The same way out as by SIGTERM.
         node.onLeaveAsked(() -> new Thread(() -> System.exit(0), "asked to leave").start());
@@ -81,12 +80,12 @@
         if (inFleet) {
             node.onText(TextHands.of(loader, reads, node, (TextAtStart) agreed, log));
         }
+        hangup.to(reads::signal);
         // Before the door opens: the notice to leave may come at any time.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(node, log), "leave"));
         try {
             if (node.start()) {
-                reloader = reads;
-                reloader.start();
+                reads.start();
                 log.line(triggers(heard, watches));
             }
         } catch (IOException e) {
@@ -112,14 +111,6 @@
         return signal + (heard || watches ? files : " on nothing");
     }
 
-    /** Runs on SIGHUP. */
-    private void reload() {
-        Reloader one = reloader;
-        if (one != null) {
-            one.signal();
-        }
-    }
-
     /** Runs on SIGTERM. Halting, and not returning, ends the process with 0: all went as it was asked to. */
     private void leave(Serving serving, Log log) {
         try {
--- a/src/main/java/lupinwood/core/Admission.java
+++ b/src/main/java/lupinwood/core/Admission.java
@@ -45,7 +45,7 @@
     }
 
     TrackId track(Arrival arrival) {
-        return new TrackId(tracks.get(arrival.track()));
+        return new TrackId(tracks.get(Settings.word(arrival.track())));
     }
 
     CustomerId customer(Arrival arrival) {
@@ -61,7 +61,7 @@
     }
 
     Track says(Arrival arrival) {
-        return says.get(tracks.get(arrival.track()));
+        return says.get(tracks.get(Settings.word(arrival.track())));
     }
 
     /** Why it is no sound ticket, or null; the receipt is that of an earlier try with its mark, or null. */
@@ -69,7 +69,7 @@
         if (arrival == null) {
             return "that can't be read";
         }
-        if (!tracks.containsKey(arrival.track())) {
+        if (!tracks.containsKey(Settings.word(arrival.track()))) {
             return "of no known track";
         }
         if (!customers.containsKey(arrival.customer())) {
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -5,8 +5,10 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import lupinwood.node.Effect;
 import lupinwood.node.Gauges;
@@ -50,6 +52,8 @@
     private final Connections connections;
     private final Slots<Taken> tickets;
     private final Map<TryId, Taken> byTry = new HashMap<>();
+    /** Those that were given to run: what goes through these must not grow with all that are held. */
+    private final Set<Taken> started = new LinkedHashSet<>();
     private final Receipts receipts;
     private Admission admission;
     private final Tags tags = new Tags();
@@ -345,8 +349,8 @@
     /** What ran there will never end, and may have had its effect. */
     public void executorStartedAnew() {
         ports.log().accept("the executor was started anew, its runs are lost");
-        tickets.forEach(taken -> {
-            if (taken.started && !taken.elsewhere) {
+        List.copyOf(started).forEach(taken -> {
+            if (!taken.elsewhere) {
                 lost(taken.arrival.tryId(), Ending.EXECUTOR_GONE);
             }
         });
@@ -358,11 +362,11 @@
      * doubt.
      */
     private void sendAgain() {
-        tickets.forEach(taken -> {
+        started.forEach(taken -> {
             if (taken.elsewhere) {
                 return;
             }
-            if (taken.started && !taken.startKnown) {
+            if (!taken.startKnown) {
                 if (taken.sent && track(taken).effect() != Effect.PURE) {
                     taken.unsure = true;
                 } else {
@@ -392,7 +396,7 @@
     private void settleDoubts(double onCores) {
         int[] certain = {0};
         List<Taken> doubtful = new ArrayList<>();
-        tickets.forEach(taken -> {
+        started.forEach(taken -> {
             if (taken.unsure) {
                 doubtful.add(taken);
             } else if (!taken.elsewhere && taken.startKnown && taken.callBody == null && taken.unreadReply == null) {
@@ -499,8 +503,8 @@
             replayTag = 0;
             sendAgain();
         } else if (replayTag == 0) {
-            tickets.forEach(taken -> {
-                taken.startKnown |= taken.started && taken.sent && !taken.unsure && tag > taken.startedAfter;
+            started.forEach(taken -> {
+                taken.startKnown |= taken.sent && !taken.unsure && tag > taken.startedAfter;
                 taken.unreadReply = taken.replySent && !taken.unsure && tag > taken.repliedAfter ? null
                         : taken.unreadReply;
             });
@@ -578,6 +582,7 @@
         Taken taken = tickets.get(ticket.number());
         if (taken != null) {
             taken.started = true;
+            started.add(taken);
             askToRun(taken);
         }
     }
@@ -712,6 +717,7 @@
             return;
         }
         byTry.remove(taken.arrival.tryId(), taken);
+        started.remove(taken);
         dropCall(taken);
         // Guards against a ticket that is over and yet owed an answer; none should be.
         answer(taken, Answer.plain(Answer.Word.ABANDONED, advice));
--- a/src/main/java/lupinwood/core/Receipts.java
+++ b/src/main/java/lupinwood/core/Receipts.java
@@ -70,10 +70,7 @@
     }
 
     Receipt remember(ReceiptKey key, TicketId ticket, Moment ends, byte[] body) {
-        Receipt before = byKey.get(key);
-        if (before != null) {
-            drop(before);
-        }
+        // One before, past its window, may still run and have repeats that wait for it; it goes at its own time.
         Receipt receipt = new Receipt(key, ticket, ends, body);
         byKey.put(key, receipt);
         byTicket.put(ticket, receipt);
--- a/src/main/java/lupinwood/net/AjpFront.java
+++ b/src/main/java/lupinwood/net/AjpFront.java
@@ -16,12 +16,12 @@
 import lupinwood.core.Arrival;
 import lupinwood.core.ConnectionId;
 import lupinwood.core.Deadlines;
-import lupinwood.core.Ending;
 import lupinwood.core.ReceiptKey;
 import lupinwood.core.TryId;
 import lupinwood.log.Log;
 import lupinwood.node.CallerId;
 import lupinwood.node.Moment;
+import lupinwood.node.Settings;
 import lupinwood.node.SubjectId;
 import lupinwood.routes.Asked;
 import lupinwood.routes.Routes;
@@ -75,7 +75,7 @@
         if (caller(connection) instanceof AjpCaller caller) {
             caller.last = true;
             if (!caller.open && caller.answered > 0) {
-                close(connection, Ending.CLOSED_BY_PEER);
+                host().halfClosed(connection);
             }
         }
     }
@@ -197,7 +197,7 @@
             }
             int caller = request.remote() == null ? 0 : Math.floorMod(request.remote().hashCode(), CALLERS);
             return new Arrival(new TryId(String.format("%016x", ids.incrementAndGet())), match.track(),
-                    NodeConfig.word(match.customer()), new SubjectId(0), new CallerId(caller), reached,
+                    Settings.word(match.customer()), new SubjectId(0), new CallerId(caller), reached,
                     match.memoryKb(), 0.5, match.mark() == null ? null : new ReceiptKey(match.mark()), whole.body());
         }
 
@@ -239,7 +239,7 @@
             answered++;
             outbox().add(Replies.answer(status, reason(status), headers, answer.result(), packet, !last));
             if (last) {
-                close(id(), Ending.CLOSED_BY_PEER);
+                host().halfClosed(id());
             }
         }
 
--- a/src/main/java/lupinwood/net/Decider.java
+++ b/src/main/java/lupinwood/net/Decider.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
@@ -24,6 +25,8 @@
 final class Decider {
     /** Where socket threads wait when deciding falls behind, which in turn lets the senders wait. */
     private static final int MOST_NEWS = 1024;
+    /** How much of what was read may wait there. A read of many small messages makes as many objects. */
+    private static final int MOST_BYTES = 1 << 20;
     private static final int MOST_AT_ONCE = 256;
     /**
      * Rounds begin no closer together: what comes at rest is dealt with at once, what follows waits as long.
@@ -35,6 +38,7 @@
     private final BlockingQueue<Runnable> inbox = new ArrayBlockingQueue<>(MOST_NEWS);
     /** What this thread tells itself: it must never wait for room in its own inbox. */
     private final Deque<Runnable> own = new ArrayDeque<>();
+    private final Semaphore room = new Semaphore(MOST_BYTES);
     private final List<Runnable> writers = new ArrayList<>();
     private final Moment begun = clock();
     private final LongSupplier steady;
@@ -107,10 +111,20 @@
         }
     }
 
-    /** All that one read brought: one hand-over, however many messages. */
-    void tell(List<Runnable> news) {
+    /** How many bytes were read and wait for this thread. */
+    int waitingBytes() {
+        return MOST_BYTES - room.availablePermits();
+    }
+
+    /** All that one read brought: one hand-over, however many messages. Waits for room, and with it the senders. */
+    void tell(List<Runnable> news, int bytes) {
         if (!news.isEmpty()) {
-            tell(() -> news.forEach(this::guarded));
+            int share = Math.min(bytes, MOST_BYTES);
+            room.acquireUninterruptibly(share);
+            tell(() -> {
+                room.release(share);
+                news.forEach(this::guarded);
+            });
         }
     }
 
--- a/src/main/java/lupinwood/net/DispatcherListener.java
+++ b/src/main/java/lupinwood/net/DispatcherListener.java
@@ -17,6 +17,7 @@
 import lupinwood.log.Log;
 import lupinwood.node.CallerId;
 import lupinwood.node.Moment;
+import lupinwood.node.Settings;
 import lupinwood.node.SubjectId;
 
 /** The dispatchers' side: RESP arrays in, answers out. */
@@ -153,7 +154,7 @@
             String subject = fields.getOrDefault("subject", "");
             String receipt = fields.getOrDefault("opkey", "");
             return new Arrival(new TryId(id), text(items.get(2)),
-                    NodeConfig.word(fields.getOrDefault("owner", "")),
+                    Settings.word(fields.getOrDefault("owner", "")),
                     new SubjectId(subject.isEmpty() ? 0 : Long.parseUnsignedLong(subject, 16)),
                     new CallerId(Math.toIntExact(whole(fields.get("via")))),
                     new Moment(Math.multiplyExact(whole(fields.get("ts")), 1_000_000L)),
--- a/src/main/java/lupinwood/net/Front.java
+++ b/src/main/java/lupinwood/net/Front.java
@@ -191,6 +191,7 @@
 
         @Override
         public void received(ByteBuffer bytes) throws Malformed {
+            int length = bytes.remaining();
             if (over) {
                 return;
             }
@@ -211,7 +212,7 @@
                     news.add(this::watch);
                 }
             } finally {
-                decider.tell(news);
+                decider.tell(news, length);
             }
         }
 
--- a/src/main/java/lupinwood/net/IndexLink.java
+++ b/src/main/java/lupinwood/net/IndexLink.java
@@ -27,14 +27,14 @@
      * reset then looks like that of a call that ran; one that carried a reply just now is no such risk.
      */
     private static final Span JUST_USED = Span.ofSeconds(0.5);
-    /** Connections at once; calls past that wait for one, within their caps. */
-    static final int MOST_LINES = 32;
     /** A connection carries as many calls: their ids are remembered, so that none comes twice on it. */
     private static final int MOST_CALLS = 64;
 
     private record Call(TryId id, Span cap, byte[] body) {}
 
     private final Means means;
+    /** Connections at once; calls past that wait for one, within their caps. */
+    private final int most;
     /** Null where there is nothing below to call. */
     private InetSocketAddress address;
     private final Map<TryId, Line> lines = new HashMap<>();
@@ -44,7 +44,8 @@
     private final Set<Line> toFlush = new HashSet<>();
     private Host host;
 
-    IndexLink(InetSocketAddress address, Means means) {
+    IndexLink(InetSocketAddress address, int most, Means means) {
+        this.most = most;
         this.address = address;
         this.means = means;
         means.decider().addWriter(this::flush);
@@ -68,7 +69,7 @@
             means.decider().tell(() -> host.callEnded(id, Ending.NEVER_CONNECTED, null));
             return;
         }
-        if (lines.size() >= MOST_LINES) {
+        if (lines.size() >= most) {
             waiting.add(new Call(id, cap, body));
             return;
         }
@@ -97,7 +98,7 @@
 
     /** A connection is free for a call that waits. */
     private void next() {
-        if (!waiting.isEmpty() && lines.size() < MOST_LINES) {
+        if (!waiting.isEmpty() && lines.size() < most) {
             Call call = waiting.poll();
             call(call.id(), call.cap(), call.body());
         }
--- a/src/main/java/lupinwood/net/NamingReporter.java
+++ b/src/main/java/lupinwood/net/NamingReporter.java
@@ -1,6 +1,8 @@
 package lupinwood.net;
 
 import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.LinkedHashSet;
@@ -24,7 +26,7 @@
     private static final int NO_CONTENT = 204;
 
     private InetSocketAddress address;
-    private final String name;
+    private final String path;
     private final Means means;
     private final Deque<Line> free = new ArrayDeque<>();
     /** Those with a report under way, the oldest first. */
@@ -37,7 +39,7 @@
 
     NamingReporter(InetSocketAddress address, String name, Means means) {
         this.address = address;
-        this.name = name;
+        path = "/ns/hosts/" + URLEncoder.encode(name, StandardCharsets.UTF_8).replace("+", "%20");
         this.means = means;
     }
 
@@ -122,7 +124,7 @@
             asked = true;
             isLast = leaving && under.size() == 1;
             String body = "{\"serving\":\"" + (leaving ? "no" : "yes") + "\"}";
-            outbox().add("PUT /ns/hosts/" + name + " HTTP/1.1\r\nHost: naming\r\n"
+            outbox().add("PUT " + path + " HTTP/1.1\r\nHost: naming\r\n"
                     + "Content-Type: application/json\r\n"
                     + "Content-Length: " + body.length() + "\r\n\r\n" + body).flush();
         }
--- a/src/main/java/lupinwood/net/NodeConfig.java
+++ b/src/main/java/lupinwood/net/NodeConfig.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import lupinwood.node.Settings;
 import lupinwood.node.Span;
 import lupinwood.settings.Checks;
 import lupinwood.settings.Entry;
@@ -169,7 +170,8 @@
             String prefix = path.isEmpty() ? "" : path + ".";
             value.getAsJsonObject().entrySet().forEach(e -> flatten(prefix + e.getKey(), e.getValue(), into));
         } else if (!value.isJsonArray()) {
-            into.put(path, plain(value));
+            // The name service knows the node by its name as it stands.
+            into.put(path, path.equals("name") && value.isJsonPrimitive() ? value.getAsString() : plain(value));
         } else if (value.getAsJsonArray().asList().stream().anyMatch(JsonElement::isJsonObject)) {
             into.put(path + ".count", Integer.toString(value.getAsJsonArray().size()));
             for (int i = 0; i < value.getAsJsonArray().size(); i++) {
@@ -183,11 +185,6 @@
     }
 
     private static String plain(JsonElement value) {
-        return value.isJsonPrimitive() ? word(value.getAsString()) : "";
-    }
-
-    /** A text as the settings write it. */
-    static String word(String text) {
-        return text.replace(' ', '_').replace(',', '_');
+        return value.isJsonPrimitive() ? Settings.word(value.getAsString()) : "";
     }
 }
--- a/src/main/java/lupinwood/net/Outbound.java
+++ b/src/main/java/lupinwood/net/Outbound.java
@@ -46,13 +46,14 @@
 
     @Override
     public final void received(ByteBuffer bytes) throws Malformed {
+        int length = bytes.remaining();
         List<Runnable> news = new ArrayList<>();
         try {
             for (T message = parser.next(bytes); message != null; message = parser.next(bytes)) {
                 news.add(read(message));
             }
         } finally {
-            decider.tell(news);
+            decider.tell(news, length);
         }
     }
 
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -25,8 +25,22 @@
     private static final int TICKETS = 8192;
     private static final int RECEIPTS = 16384;
     private static final long RECEIPT_BYTES = 8 * 1024 * 1024;
-    /** Descriptors kept for the process itself and for its links, where there are enough. */
-    private static final int OWN_DESCRIPTORS = 64;
+    /**
+     * What the descriptors are for: dispatchers' connections, which take half of them in any case, calls, and what
+     * the process itself and its other links need.
+     */
+    record Descriptors(int dispatchers, int calls) {
+        private static final int OWN = 24;
+        private static final int MOST_CALLS = 32;
+        private static final int LEAST_CALLS = 2;
+
+        static Descriptors of(int all) {
+            int dispatchers = Math.max(all / 2 + 1, all - 2 * MOST_CALLS);
+            return new Descriptors(dispatchers,
+                    Math.max(LEAST_CALLS, Math.min(MOST_CALLS, all - dispatchers - OWN)));
+        }
+    }
+
     private static final Span LOOK_AGAIN = Span.ofSeconds(0.02);
     /** Without a ticket for so long, dispatchers have learned that this node leaves. */
     private static final Span QUIET = Span.ofSeconds(1);
@@ -111,13 +125,13 @@
         fleet = config.meaning().items(Schema.VOTER).isEmpty() ? null
                 : new FleetPart(config.meaning(), servers, deadlines,
                         () -> hands == null ? null : hands.get(), () -> leaveAsked.run(), log);
-        index = new IndexLink(config.index(), means);
+        Descriptors descriptors = Descriptors.of(config.sockets());
+        index = new IndexLink(config.index(), descriptors.calls(), means);
         naming = new NamingReporter(config.naming(), config.name(), means);
-        int connections = Math.max(config.sockets() / 2 + 1, config.sockets() - OWN_DESCRIPTORS);
         host = new Host(config.settings(), config.seed(), maker,
                 new Host.Ports(ajp == null ? listener : new Fronts(listener, ajp),
                         servers == null ? executor : new Works(executor, servers), index, log::line), deadlines,
-                new Host.Bounds(connections, TICKETS, RECEIPTS, RECEIPT_BYTES), decider.time());
+                new Host.Bounds(descriptors.dispatchers(), TICKETS, RECEIPTS, RECEIPT_BYTES), decider.time());
     }
 
     /** What the fleet's word to leave sets going; to be set before {@link #start}. */
--- a/src/main/java/lupinwood/node/Settings.java
+++ b/src/main/java/lupinwood/node/Settings.java
@@ -13,6 +13,11 @@
         this.values = Map.copyOf(values);
     }
 
+    /** A text as the map has it: blanks and commas would part it. */
+    public static String word(String text) {
+        return text.replace(' ', '_').replace(',', '_');
+    }
+
     public String text(String name) {
         return values.getOrDefault(name, "");
     }
--- a/src/test/java/lupinwood/core/HostTest.java
+++ b/src/test/java/lupinwood/core/HostTest.java
@@ -330,6 +330,46 @@
                 """);
     }
 
+    @Test
+    void aTryReadAfterItsOwnWindowIsRememberedForTheTriesInItThatAreReadLater() {
+        machine.set("services.1.window_ns=800000000");
+        start();
+        Moment stamped = now;
+        pass(1500);
+        for (int i = 0; i < 2; i++) {
+            Moment reached = stamped.plus(Span.ofSeconds(i * 0.5));
+            tell(() -> host.arrived(line, ++tag, new Arrival(id(tag), "token", "acme", new SubjectId(0), new CallerId(1),
+                    reached, 10, 0.5, new ReceiptKey("k"), NOTHING)));
+            pass(100);
+        }
+        assertThat(printed()).isEqualTo("""
+                1500 run 1\s
+                1600 2 ABANDONED
+                """);
+    }
+
+    @Test
+    void repeatsThatWaitForATryAreServedByItAlsoWhenItsWindowEndedAndAnotherRuns() {
+        machine.set("services.1.window_ns=800000000");
+        start();
+        long first = arrive("token", "k", "a");
+        pass(500);
+        arrive("token", "k", "a");
+        pass(500);
+        long next = arrive("token", "k", "a");
+        exit(first, Ending.WELL, "one");
+        exit(next, Ending.WELL, "two");
+        arrive("token", "k", "a");
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                1000 run 3 a
+                1000 1 SATISFIED one
+                1000 2 SATISFIED one
+                1000 3 SATISFIED two
+                1000 4 SATISFIED two
+                """);
+    }
+
     @Test
     void whatIsDroppedForRoomIsTheOldestResultAndNeverThatOfWhatRuns() {
         make(20);
--- a/src/test/java/lupinwood/net/CrossingsTest.java
+++ b/src/test/java/lupinwood/net/CrossingsTest.java
@@ -412,6 +412,13 @@
         leaving.join(PATIENCE_MS);
     }
 
+    @Test
+    void aNameThatIsNoPathIsWrittenAsOne() throws Exception {
+        name = "n 1/\u00e9?";
+        start();
+        assertThat(namingPlace.accept().line()).isEqualTo("PUT /ns/hosts/n%201%2F%C3%A9%3F HTTP/1.1");
+    }
+
     @Test
     void theLastReportFindsItsWayPastFourThatNobodyAnswered() throws Exception {
         AtomicLong now = new AtomicLong(System.nanoTime());
@@ -475,8 +482,69 @@
                 "req=%016x,ts=%d,via=1,owner=acme,need=20.5,level=0.5,opkey=ab12", tag, when.toEpochMilli()), "p");
     }
 
+    // ---- floods ----
+
+    /** What is read and not yet decided is bounded in bytes: many small messages make far more objects than bytes. */
+    @Test
+    void aFloodOfSmallMessagesWaitsAtItsSendersAndCostsNobodyAnAnswer() throws Exception {
+        start();
+        End caller = callerWithRun();
+        List<SocketChannel> flood = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            flood.add(SocketChannel.open(listen));
+            write(flood.get(i), array("HEALTH", "1"));
+        }
+        until(() -> serving.figures().startsWith("connections 9,"));
+        CountDownLatch go = hold();
+        ByteBuffer many = ByteBuffer.wrap((array("ABORT", "7").repeat(300) + array("HEALTH", "8"))
+                .getBytes(StandardCharsets.ISO_8859_1));
+        long written = 0;
+        for (int idle = 0; idle < 20_000 && written < 512L << 20; idle++) {
+            for (SocketChannel one : flood) {
+                one.configureBlocking(false);
+                int taken = one.write(many);
+                written += taken;
+                idle = taken > 0 ? 0 : idle;
+                if (!many.hasRemaining()) {
+                    many.rewind();
+                }
+            }
+        }
+        assertThat(written).as("held up at last").isLessThan(512L << 20);
+        until(() -> serving.decider().waitingBytes() > 900_000);
+        assertThat(serving.decider().waitingBytes()).isLessThanOrEqualTo(1 << 20);
+        go.countDown();
+        exit(1, 101, "done");
+        assertThat(caller.answer()).isEqualTo("101 ACK + done");
+        for (SocketChannel one : flood) {
+            one.close();
+        }
+        dispatcher();
+    }
+
     // ---- configurations ----
 
+    @Test
+    void theDescriptorsOfAnyPlatformAreEnoughForAllThatTakesThem() {
+        for (int all = 54; all < 5000; all++) {
+            Serving.Descriptors parts = Serving.Descriptors.of(all);
+            assertThat(parts.dispatchers()).isGreaterThan(all / 2);
+            assertThat(parts.calls()).isBetween(2, 32);
+            assertThat(parts.dispatchers() + parts.calls() + 24).as("of %d", all).isLessThanOrEqualTo(all);
+        }
+    }
+
+    @Test
+    void namesWithBlanksAndCommasAreFoundAgain() throws Exception {
+        settings = SETTINGS.replace("\"look\"", "\"look, see.v2\"").replace("\"acme\"", "\"acme & sons\"");
+        start();
+        End caller = dispatcher();
+        caller.say(ticket(101, "look, see.v2", "b", ",owner=acme & sons"));
+        expectRun(101, "look, see.v2", "b");
+        exit(1, 101, "done");
+        assertThat(caller.answer()).isEqualTo("101 ACK + done");
+    }
+
     @Test
     void aNodeWithNothingBelowNeedsNoIndex() throws Exception {
         settings = SETTINGS.replace("one_for_all", "off").replace("\"calls_out\": 2.0", "\"calls_out\": 0.0")
--- a/src/test/java/lupinwood/net/SocketTest.java
+++ b/src/test/java/lupinwood/net/SocketTest.java
@@ -144,6 +144,7 @@
     String settings = SETTINGS;
     int stopMs = 15_000;
     boolean withoutIndex;
+    String name = "n1";
 
     void open() throws Exception {
         executorPlace = new Place();
@@ -182,7 +183,7 @@
     }
 
     String text() {
-        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + listen.getPort()
+        return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + listen.getPort()
                 + "\",\"executor\":\"127.0.0.1:" + executorPlace.socket.getLocalPort()
                 + (withoutIndex ? "" : "\",\"index\":\"127.0.0.1:" + indexPlace.socket.getLocalPort()) + "\",\"naming\":\"127.0.0.1:"
                 + namingPlace.socket.getLocalPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":" + stopMs + ","
