Let the socket tests' nodes leave by a clock of their own

Need: the socket tests are to run a hundred times in a row, and most of their time was the nodes' pauses as they leave.

Change: SocketTest gives each node a clock that the test can move on; after a test it is moved on until the node has left.

--- a/src/test/java/lupinwood/net/CrossingsTest.java
+++ b/src/test/java/lupinwood/net/CrossingsTest.java
@@ -15,8 +15,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.atomic.AtomicReference;
 import lupinwood.Brain;
 import lupinwood.log.WallClock;
 import lupinwood.node.*;
@@ -35,7 +33,6 @@
     /** As many pieces of news as the deciding thread takes in one round. */
     private static final int A_ROUND = 256;
 
-    private final AtomicLong skipped = new AtomicLong();
     private final List<CountDownLatch> held = new ArrayList<>();
 
     @AfterEach
@@ -44,22 +41,11 @@
         WallClock.readFrom(Instant::now);
     }
 
-    /** The node's own clock goes on at once by so much; what is due then is done. */
-    private void skip(double seconds) {
-        skipped.addAndGet((long) (seconds * 1e9));
-        serving.decider().tell(() -> { });
-    }
-
     /** The clock that stamps tickets is set, by so much beside the true one. */
     private static void setWallClock(Duration beside) {
         WallClock.readFrom(() -> Instant.now().plus(beside));
     }
 
-    private void startWithOwnClock() throws Exception {
-        steady = () -> System.nanoTime() + skipped.get();
-        start();
-    }
-
     /** Keeps the deciding thread until the latch that is returned is down; it is kept once this returns. */
     private CountDownLatch hold() throws InterruptedException {
         CountDownLatch go = new CountDownLatch(1);
@@ -89,23 +75,11 @@
         return ticket(tag, "look", "b", ",owner=nobody");
     }
 
-    private Thread leave() {
-        Thread leaving = new Thread(() -> {
-            try {
-                serving.leave();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        leaving.start();
-        return leaving;
-    }
-
     // ---- close ----
 
     @Test
     void aTicketThatCrossesTheCloseOfItsSilentConnectionDoesNotRun() throws Exception {
-        startWithOwnClock();
+        start();
         End other = dispatcher();
         End silent = connect();
         dispatcher();
@@ -115,7 +89,7 @@
         }
         silent.say(ticket(101, "look", "crossing"));
         until(() -> serving.decider().waiting() > A_ROUND);
-        skipped.addAndGet(2_000_000_000L);
+        skip(2);
         go.countDown();
         untilLogged("SAID_NOTHING");
         other.say(ticket(102, "look", "next"));
@@ -319,8 +293,7 @@
 
     @Test
     void whoRestsUntilTheNodeEndsItIsNotResetByWhatItSendsThenAndNothingOfItRuns() throws Exception {
-        AtomicLong now = new AtomicLong(System.nanoTime());
-        steady = now::get; // stands still but for the test
+        standsStill = true;
         start();
         End resting = dispatcher();
         Thread leaving = leave();
@@ -329,27 +302,22 @@
             resting.say(array("HEALTH", "9"));
             return resting.answer().startsWith("9 RED");
         });
-        go(now, 1.1);
+        skip(1.1);
         assertThat(resting.answer()).isEqualTo("0 FIN");
         resting.say(ticket(101, "look", "after the wish to close"));
         assertThat(resting.answer()).startsWith("101 NAK");
-        go(now, 0.2);
+        skip(0.2);
         assertThat(resting.in().read()).as("the end").isEqualTo(-1);
         resting.say(ticket(102, "look", "after the end"));
         // The first word after a reset is taken, the second is not.
         resting.say(ticket(103, "look", "after the end").substring(0, 40));
-        go(now, 0.2);
+        skip(0.2);
         leaving.join(PATIENCE_MS);
         for (String line = lineOrEnd(executor); line != null; line = lineOrEnd(executor)) {
             assertThat(line).as("nothing is run").startsWith("METER ");
         }
     }
 
-    private void go(AtomicLong clock, double seconds) {
-        clock.addAndGet((long) (seconds * 1e9));
-        serving.decider().tell(() -> { });
-    }
-
     private static String lineOrEnd(End end) {
         try {
             return end.line();
@@ -388,7 +356,7 @@
 
     @Test
     void theLastReportIsSaidAgainAfterAnEarlierOneThatMayHaveOvertakenIt() throws Exception {
-        startWithOwnClock();
+        start();
         End slow = namingPlace.accept();
         assertThat(report(slow)).contains("yes");
         Thread leaving = leave();
@@ -421,8 +389,7 @@
 
     @Test
     void theLastReportFindsItsWayPastFourThatNobodyAnswered() throws Exception {
-        AtomicLong now = new AtomicLong(System.nanoTime());
-        steady = now::get; // stands still, so that none is given up
+        standsStill = true; // so that none is given up
         start();
         assertThat(report(namingPlace.accept())).contains("yes");
         for (int i = 0; i < 3; i++) {
@@ -434,7 +401,7 @@
         }
         Thread leaving = leave();
         assertThat(report(namingPlace.accept())).contains("no");
-        go(now, 15);
+        skip(15);
         leaving.join(PATIENCE_MS);
     }
 
@@ -442,7 +409,7 @@
 
     @Test
     void aClockThatIsSetBackStallsNoAnswerAndOneSetForwardTakesNoTime() throws Exception {
-        startWithOwnClock();
+        start();
         End caller = callerWithRun();
         setWallClock(Duration.ofHours(1));
         caller.say(array("HEALTH", "7"));
@@ -459,7 +426,7 @@
 
     @Test
     void theWindowCountsInTheClockThatStampsTickets() throws Exception {
-        startWithOwnClock();
+        start();
         End caller = dispatcher();
         caller.say(ticket(101, "pay", "p"));
         expectRun(101, "pay", "p");
--- a/src/test/java/lupinwood/net/ServingTest.java
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -279,14 +279,7 @@
     @Test
     void leavingAnswersAllTellsWhoStillComesAndClosesTheDoorOnceNobodyDoes() throws Exception {
         End caller = callerWithRun();
-        Thread leaving = new Thread(() -> {
-            try {
-                serving.leave();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        leaving.start();
+        Thread leaving = leave();
         End late = new End(new Socket(listen.getAddress(), listen.getPort()));
         do {
             late.say(array("HEALTH", "9"));
--- a/src/test/java/lupinwood/net/SocketTest.java
+++ b/src/test/java/lupinwood/net/SocketTest.java
@@ -9,6 +9,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import lupinwood.Brain;
 import lupinwood.core.Host;
@@ -139,7 +140,11 @@
     End executor;
 
     /** How the node's own clock runs, how it decides, and what it is told. */
-    LongSupplier steady = System::nanoTime;
+    private final AtomicLong skipped = new AtomicLong();
+    private final long begun = System.nanoTime();
+    /** Its time goes on by {@link #skip} alone. */
+    boolean standsStill;
+    private final LongSupplier steady = () -> (standsStill ? begun : System.nanoTime()) + skipped.get();
     Host.Maker maker = Brain::new;
     String settings = SETTINGS;
     int stopMs = 15_000;
@@ -172,12 +177,35 @@
         if (serving == null) {
             return;
         }
-        serving.leave();
+        Thread leaving = leave();
+        while (leaving.isAlive()) {
+            skip(0.2); // nobody has to wait for the node's pauses
+            leaving.join(2);
+        }
         executorPlace.close();
         indexPlace.close();
         namingPlace.close();
     }
 
+    /** The node's own clock goes on at once by so much; what is due then is done. */
+    void skip(double seconds) {
+        skipped.addAndGet((long) (seconds * 1e9));
+        serving.decider().tell(() -> { });
+    }
+
+    /** The notice to leave, on a thread of its own. */
+    Thread leave() {
+        Thread leaving = new Thread(() -> {
+            try {
+                serving.leave();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        leaving.start();
+        return leaving;
+    }
+
     NodeConfig config() throws Exception {
         return read(text());
     }
