Hold further crossings in socket tests: reloads, repeats, links broken off

Change: tests alone. A reload that crosses the notice, one mark at once on three connections whose first caller resets, a notice and a reply broken off in the middle, an executor that takes the link and says nothing. All were sound.

--- a/src/test/java/lupinwood/net/CrossingsTest.java
+++ b/src/test/java/lupinwood/net/CrossingsTest.java
@@ -343,6 +343,126 @@
         assertThat(logged.toString()).containsOnlyOnce("told to leave").containsOnlyOnce(" left");
     }
 
+    @Test
+    void aReloadThatCrossesTheNoticeIsTakenWholeOrNotAtAll() throws Exception {
+        start();
+        End caller = callerWithRun();
+        CountDownLatch go = hold();
+        Thread leaving = leave();
+        until(() -> serving.decider().waiting() > 0);
+        Place before = indexPlace;
+        indexPlace = new Place();
+        CompletableFuture<Void> reloaded = CompletableFuture.runAsync(() -> {
+            try {
+                serving.reload(config());
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        });
+        until(() -> serving.decider().waiting() > 1);
+        go.countDown();
+        reloaded.get();
+        log.drain();
+        assertThat(logged.toString()).contains("nothing reloaded: the node was told to leave");
+        callOut(1, 101);
+        End index = before.accept();
+        expectCall(index, 101);
+        index.say(String.format("%016x HIT 2\r\nok\r\n", 101));
+        expectReply(101, "ok");
+        exit(2, 101, "done");
+        assertThat(caller.answer()).isEqualTo("101 ACK + done");
+        before.close();
+        caller.socket.close();
+        leaving.join(PATIENCE_MS);
+    }
+
+    // ---- repeats ----
+
+    @Test
+    void theSameMarkAtOnceOnTwoConnectionsRunsOnceAlsoWhenTheFirstCallerIsGone() throws Exception {
+        start();
+        End first = dispatcher();
+        End second = dispatcher();
+        End third = dispatcher();
+        CountDownLatch go = hold();
+        first.say(ticket(101, "pay", "p"));
+        until(() -> serving.decider().waiting() > 0);
+        second.say(ticket(102, "pay", "p"));
+        until(() -> serving.decider().waiting() > 1);
+        go.countDown();
+        expectRun(101, "pay", "p");
+        first.socket.setSoLinger(true, 0);
+        first.socket.close(); // a reset
+        until(() -> serving.figures().startsWith("connections 2,"));
+        third.say(ticket(103, "pay", "p"));
+        until(() -> serving.figures().contains("open 2,"));
+        exit(1, 101, "paid");
+        assertThat(second.answer()).isEqualTo("102 ACK + paid");
+        assertThat(third.answer()).isEqualTo("103 ACK + paid");
+        third.say(ticket(104, "look", "next"));
+        expectRun(104, "look", "next");
+    }
+
+    // ---- links ----
+
+    @Test
+    void aNoticeBrokenOffInTheMiddleComesWholeOnTheNextLinkAndCountsOnce() throws Exception {
+        start();
+        End caller = dispatcher();
+        caller.say(ticket(101, "pay", "p"));
+        expectRun(101, "pay", "p");
+        executor.say(String.format("EXIT 1 %016x OK 5 4\r\npa", 101));
+        executor.socket.close();
+        executor = executorPlace.accept();
+        assertThat(executor.line()).isEqualTo("JOIN 0");
+        executor.say("WELCOME WARM 900\r\n");
+        exit(1, 101, "paid");
+        exit(1, 101, "paid");
+        assertThat(caller.answer()).isEqualTo("101 ACK + paid");
+        caller.say(array("HEALTH", "5"));
+        assertThat(caller.answer()).as("no second answer").isEqualTo("5 GREEN +");
+    }
+
+    @Test
+    void anExecutorThatTakesTheLinkAndSaysNothingKeepsNobodyWaiting() throws Exception {
+        open();
+        serving.start();
+        End silent = executorPlace.accept();
+        assertThat(silent.line()).isEqualTo("JOIN 0");
+        End caller = connect();
+        caller.say(array("HEALTH", "1") + ticket(101, "look", "b"));
+        assertThat(caller.answer()).startsWith("1 RED");
+        assertThat(caller.answer()).isEqualTo("101 NAK holdoff=1000");
+        Thread leaving = leave();
+        assertThat(caller.answer()).isEqualTo("0 FIN");
+        caller.socket.close();
+        leaving.join(PATIENCE_MS);
+    }
+
+    @Test
+    void aReplyBrokenOffInTheMiddleIsAskedForAgainOnlyWhereNothingCanHappenTwice() throws Exception {
+        start();
+        End caller = dispatcher();
+        caller.say(ticket(101, "look", "a"));
+        expectRun(101, "look", "a");
+        callOut(1, 101);
+        End index = indexPlace.accept();
+        expectCall(index, 101);
+        index.say(String.format("%016x HIT 10\r\nabc", 101));
+        index.socket.close();
+        End again = indexPlace.accept();
+        expectCall(again, 101);
+        again.say(String.format("%016x HIT 2\r\nok\r\n", 101));
+        expectReply(101, "ok");
+        caller.say(ticket(102, "pay", "p"));
+        expectRun(102, "pay", "p");
+        callOut(2, 102);
+        expectCall(again, 102);
+        again.say(String.format("%016x HIT 10\r\nabc", 102));
+        again.socket.close();
+        assertThat(caller.answer()).isEqualTo("102 FAIL +");
+    }
+
     // ---- lists and reports ----
 
     private static String report(End naming) throws IOException {
