Answer a repeat that comes after the last call of a node that leaves

Followed with each step logged: the request, a repeat, was read 0.2 s after the last call and before the close, and never answered. Ruled out: a close over it (it was read and taken), the held (it was no new ticket). At fault: Brain.take gave it the original's result to wait for, whose caller had left, so that nothing was owed for it at the last call; the repeat's own alarm stood at its abandon time, after the stop.

Change: while leaving, no ticket's alarm is later than the last call. Why it can't come back: whatever is taken has an alarm by then, and the result that is there is handed out before it. It should also hold against any ticket taken late that waits for something.

Test: BrainTest.aRepeatAfterTheLastCall..., seen to fail without the change.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -236,8 +236,10 @@
             hold.add(held);
         }
         if (held.state != State.OVER) {
-            // Rule 1: whatever is under way, the answer goes out before the caller leaves.
-            alarms.at(held.lastAnswer, () -> held.bounce("never got to run", Span.ZERO));
+            // Rules 1 and 3: whatever is under way, the answer goes out before the caller leaves, or this node: a
+            // repeat may come after the last call, and wait for a result.
+            Moment last = leftAt != null && lastCall().isBefore(held.lastAnswer) ? lastCall() : held.lastAnswer;
+            alarms.at(last, () -> held.bounce("never got to run", Span.ZERO));
         }
         return held;
     }
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -53,6 +53,23 @@
                 """);
     }
 
+    /** Seen on a day of deploy/sites/many: the caller of the original was gone, so nothing was owed at the last call. */
+    @Test
+    void aRepeatAfterTheLastCallIsAnsweredAtOnceAndDoesNotWaitForItsOriginal() {
+        Machine machine = new Machine().start();
+        long original = machine.arrive(Machine.RECEIPTED);
+        machine.tell(original, Handle::left);
+        machine.brain.leave(Span.ofSeconds(3));
+        machine.pass(2900);
+        machine.trace.clear();
+        machine.arrive(Machine.RECEIPTED, original, 10, 0);
+        machine.pass(20);
+        assertThat(machine.printed()).isEqualTo("""
+                2900 reuse for 2
+                2900 fail 2
+                """);
+    }
+
     @Test
     void nothingThatComesOverTheGraceIsRunAndAllIsAnsweredBeforeTheStop() {
         machine.start();
