Count a pause once before anyone is held to be silent

Found by reading: the timers for a silent connection and for a message begun ring in the round after a pause, or while the reading thread waits behind a flood, before what was said in time is read; the connection was ended and its tickets lost. At fault: Connections.watch and Front.watch, one timer of 1.5 s each.

Change: six of 0.25 s, each begun when the one before was seen to be over.

--- a/src/main/java/lupinwood/core/Connections.java
+++ b/src/main/java/lupinwood/core/Connections.java
@@ -21,8 +21,12 @@
     static final int MOST_OPEN = 32;
     /** A dispatcher that was asked to close an idle connection and doesn't is cut off then. */
     private static final Span TIME_TO_CLOSE = Span.ofSeconds(5);
-    /** Who connects speaks by then; dispatchers connect to send at once. */
-    private static final Span TIME_TO_SPEAK = Span.ofSeconds(1.5);
+    /**
+     * Who connects speaks within so many of these; dispatchers connect to send at once. Each begins when the one before
+     * was seen to be over: after a pause, what was said meanwhile has still to be read here, so a pause counts once.
+     */
+    private static final Span SILENCE = Span.ofSeconds(0.25);
+    private static final int MOST_SILENCES = 6;
     /** Who has taken its last answers, and the end behind them, closes its side by then. */
     private static final Span TIME_TO_END = Span.ofSeconds(0.5);
     /** So many unsound tickets in a row are forgiven to one with a standing. */
@@ -288,18 +292,31 @@
 
     private void watch(Connection connection) {
         if (connection.open.isEmpty() && !connection.closing) {
+            if (!connection.spoke) {
+                if (connection.idle == null) {
+                    awaitWord(connection, MOST_SILENCES);
+                }
+                return;
+            }
             deadlines.callOff(connection.idle);
             Moment since = connection.idleSince;
-            connection.idle = !connection.spoke
-                    ? deadlines.at(since.plus(TIME_TO_SPEAK),
-                            () -> end(connection, Ending.SAID_NOTHING))
-                    : connection.finishedAt != null
+            connection.idle = connection.finishedAt != null
                     ? deadlines.at(since.plus(TIME_TO_CLOSE),
                             () -> end(connection, Ending.CLOSED_HERE))
                     : deadlines.at(since.plus(longestIdle), () -> finish(connection));
         }
     }
 
+    private void awaitWord(Connection connection, int left) {
+        connection.idle = deadlines.at(clock.get().plus(SILENCE), () -> {
+            if (left > 1) {
+                awaitWord(connection, left - 1);
+            } else {
+                end(connection, Ending.SAID_NOTHING);
+            }
+        });
+    }
+
     /** Closing at once could cross a ticket that is on its way; so the dispatcher is asked to close. */
     private void finish(Connection connection) {
         if (connection.finishedAt == null) {
--- a/src/main/java/lupinwood/net/Front.java
+++ b/src/main/java/lupinwood/net/Front.java
@@ -26,8 +26,12 @@
     /** What may wait for all together; past it whoever has more than a few answers waiting is cut off. */
     private static final long MOST_WAITING_ALL = 12 * 1024 * 1024;
     private static final long FEW = 16 * 1024;
-    /** A message that was begun is whole by then. */
-    private static final Span TIME_TO_END = Span.ofSeconds(1.5);
+    /**
+     * A message that was begun is whole within so many of these. Each begins when the one before was seen to be over:
+     * after a pause, the rest of it has still to be read here, so a pause counts once.
+     */
+    private static final Span SILENCE = Span.ofSeconds(0.25);
+    private static final int MOST_SILENCES = 6;
 
     private final Decider decider;
     private final Deadlines deadlines;
@@ -220,18 +224,24 @@
         private void watch() {
             if (!watched && id != null && midway) {
                 watched = true;
-                long before = messages;
-                deadlines.at(host.now().plus(TIME_TO_END), () -> {
-                    watched = false;
-                    if (midway && messages == before && id != null) {
-                        host.leftOff(id);
-                    } else {
-                        watch();
-                    }
-                });
+                awaitEnd(messages, MOST_SILENCES);
             }
         }
 
+        private void awaitEnd(long before, int left) {
+            deadlines.at(host.now().plus(SILENCE), () -> {
+                if (!midway || messages != before || id == null) {
+                    watched = false;
+                    watch();
+                } else if (left > 1) {
+                    awaitEnd(before, left - 1);
+                } else {
+                    watched = false;
+                    host.leftOff(id);
+                }
+            });
+        }
+
         @Override
         public void inputClosed(IoSession session) {
             session.suspendRead();
--- a/src/test/java/lupinwood/net/SocketTest.java
+++ b/src/test/java/lupinwood/net/SocketTest.java
@@ -187,9 +187,13 @@
         namingPlace.close();
     }
 
+    void skipOnly(double seconds) {
+        skipped.addAndGet((long) (seconds * 1e9));
+    }
+
     /** The node's own clock goes on at once by so much; what is due then is done. */
     void skip(double seconds) {
-        skipped.addAndGet((long) (seconds * 1e9));
+        skipOnly(seconds);
         serving.decider().tell(() -> { });
     }
 
