--- a/src/main/java/lupinwood/cli/Serve.java
+++ b/src/main/java/lupinwood/cli/Serve.java
@@ -42,6 +42,7 @@
 
     /** The exit status; other than 0 where it could not start. */
     private volatile int endsWith;
+
     @Override
     public int run() {
         Relay hangup = new Relay();
--- a/src/main/java/lupinwood/core/Connections.java
+++ b/src/main/java/lupinwood/core/Connections.java
@@ -212,27 +212,11 @@
         }
     }
 
-    /** What came on it can't be read. */
-    void malformed(ConnectionId id) {
+    /** Nothing more counts that comes on it; it is closed once what is open is answered. */
+    void end(ConnectionId id, Ending why) {
         Connection connection = table.get(id.number());
         if (connection != null) {
-            end(connection, Ending.MALFORMED);
-        }
-    }
-
-    /** It left off within a message. */
-    void leftOff(ConnectionId id) {
-        Connection connection = table.get(id.number());
-        if (connection != null) {
-            end(connection, Ending.SAID_NOTHING);
-        }
-    }
-
-    /** The dispatcher will send no more on it, but may still read: it is closed once all is answered. */
-    void halfClosed(ConnectionId id) {
-        Connection connection = table.get(id.number());
-        if (connection != null) {
-            end(connection, Ending.CLOSED_BY_PEER);
+            end(connection, why);
         }
     }
 
--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -156,7 +156,7 @@
     }
 
     public void halfClosed(ConnectionId connection) {
-        connections.halfClosed(connection);
+        connections.end(connection, Ending.CLOSED_BY_PEER);
     }
 
     /** All that was written to a connection that ends has gone out. */
@@ -249,12 +249,12 @@
 
     /** What can't be read came on it: nothing more is, and it ends once all that is open on it is answered. */
     public void malformed(ConnectionId connection) {
-        connections.malformed(connection);
+        connections.end(connection, Ending.MALFORMED);
     }
 
     /** A message on it was begun and never ended. */
     public void leftOff(ConnectionId connection) {
-        connections.leftOff(connection);
+        connections.end(connection, Ending.SAID_NOTHING);
     }
 
     private void left(TicketId id) {
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -247,7 +247,8 @@
             log.line("can't change while the node runs, and stays as it was: " + stays);
         }
         log.line(taken ? "reloaded: executor " + now.executor()
-                + ", index " + (now.index() == null ? "none" : now.index()) + ", naming " + now.naming() + (plan.isEmpty() ? "; nothing changed" : "")
+                + ", index " + (now.index() == null ? "none" : now.index()) + ", naming "
+                + now.naming() + (plan.isEmpty() ? "; nothing changed" : "")
                 : "nothing reloaded: the node was told to leave");
         return plan;
     }
