Hold the closing of the door in its test until it really waits

Seen on reading the change again: the test waited for a fact that always held, so the notice to close could come after the queue was let in, and the crossing was hoped for. It now waits until the closing thread waits for the accepting one, which is held. No code of the node changed.

--- a/src/test/java/lupinwood/net/CrossingsTest.java
+++ b/src/test/java/lupinwood/net/CrossingsTest.java
@@ -300,10 +300,11 @@
             callers.get(i).say("ticket " + i);
         }
         await(first);
-        CompletableFuture<Void> closed = CompletableFuture.runAsync(acceptor::unbind);
-        until(() -> !acceptor.isActive() || go.getCount() > 0);
+        Thread closing = new Thread(acceptor::unbind);
+        closing.start();
+        until(() -> closing.getState() == Thread.State.TIMED_WAITING); // for the thread that accepts, which is held
         go.countDown();
-        closed.get();
+        closing.join(PATIENCE_MS);
         for (End caller : callers) {
             assertThat(caller.line()).isEqualTo("heard");
         }
