Read what is null or empty in the platform's JSON as absent, and numbers in any form

An entry given as null, "" or [] was put to its kind's check and refused the start: "this is not what machine gauges takes:" for a deployment without gauges, and the same for an index of "" where nothing is called. A list of numbers with a null in it, a number of over 40 digits or finer than 1e-40 did so too, and a list's count that is no whole number threw. A node serves with all of them, by the default that counts where the entry is absent.

What is null or empty is left out when the JSON is read, so it means what absence means, entry by entry; numbers too fine are rounded at the 40th place; a count that is none is refused by its list. Too great a number stays refused. Names in any sign (blanks, commas, *, #, quotes, verbs, digits, Cyrillic) and lists of 1,024 were sound before; tests hold them now.

--- a/src/main/java/lupinwood/net/NodeConfig.java
+++ b/src/main/java/lupinwood/net/NodeConfig.java
@@ -164,8 +164,15 @@
         return address;
     }
 
-    /** Names joined by dots; plain lists joined by commas; lists of objects numbered, with their count. */
+    /**
+     * Names joined by dots; plain lists joined by commas; lists of objects numbered, with their count. What is null or
+     * empty is left out, as if it were absent.
+     */
     private static void flatten(String path, JsonElement value, Map<String, String> into) {
+        if (value.isJsonNull() || value.isJsonArray() && value.getAsJsonArray().isEmpty()
+                || value.isJsonPrimitive() && value.getAsString().isEmpty()) {
+            return;
+        }
         if (value.isJsonObject()) {
             String prefix = path.isEmpty() ? "" : path + ".";
             value.getAsJsonObject().entrySet().forEach(e -> flatten(prefix + e.getKey(), e.getValue(), into));
--- a/src/main/java/lupinwood/settings/Meaning.java
+++ b/src/main/java/lupinwood/settings/Meaning.java
@@ -19,6 +19,8 @@
  */
 public record Meaning(Map<String, List<String>> lists, Map<String, String> values) {
     private static final Pattern ITEM = Pattern.compile("settings\\.(services|customers)\\.(\\d{1,6})\\.(.+)");
+    /** What a place in a list can be written with, and more than any deployment has. */
+    private static final BigDecimal MOST_ITEMS = new BigDecimal(100_000);
     private static final Pattern PLACE = Pattern.compile("\\.\\d{1,6}\\.");
 
     public Meaning {
@@ -80,8 +82,8 @@
 
     /** What the JSON's flat map says; what is wrong with it goes to the faults. */
     public static Meaning of(Map<String, String> flat, List<Fault> faults) {
-        List<String> tracks = names(flat, "services");
-        List<String> customers = names(flat, "customers");
+        List<String> tracks = names(flat, "services", faults);
+        List<String> customers = names(flat, "customers", faults);
         Map<String, String> found = new TreeMap<>();
         flat.forEach((key, kept) -> {
             if (key.startsWith("settings.") && key.endsWith(".count") || isItemsName(key)) {
@@ -90,18 +92,18 @@
             Entry plain = Schema.keyed(key + ".#");
             if (plain != null) {
                 String[] items = kept.split(",");
-                for (int i = 0; i < items.length && i < tracks.size() && !kept.isEmpty(); i++) {
+                for (int i = 0; i < items.length && i < tracks.size(); i++) {
                     put(plain, "track " + tracks.get(i) + " " + plain.own(), items[i], found, faults);
                 }
                 return;
             }
             Matcher item = ITEM.matcher(key);
             Entry entry = Schema.keyed(PLACE.matcher(key).replaceFirst(".#."));
-            if (entry != null && item.matches()) {
-                List<String> names = item.group(1).equals("services") ? tracks : customers;
-                int place = Integer.parseInt(item.group(2));
+            List<String> names = !item.matches() || item.group(1).equals("services") ? tracks : customers;
+            int place = item.matches() ? Integer.parseInt(item.group(2)) : 0;
+            if (entry != null && item.matches() && place < names.size()) {
                 put(entry, entry.list() + " " + names.get(place) + " " + entry.own(), kept, found, faults);
-            } else if (entry != null) {
+            } else if (entry != null && !item.matches()) {
                 put(entry, entry.name(), kept, found, faults);
             } else if (key.startsWith("settings.")) {
                 found.put(Schema.EXTRA + " " + key.substring("settings.".length()), kept);
@@ -116,16 +118,25 @@
         return item.matches() && item.group(3).equals("name");
     }
 
-    private static List<String> names(Map<String, String> flat, String list) {
+    private static List<String> names(Map<String, String> flat, String list, List<Fault> faults) {
         List<String> names = new ArrayList<>();
-        String count = flat.getOrDefault("settings." + list + ".count", "0");
-        for (int i = 0; i < Integer.parseInt(count); i++) {
+        String told = flat.getOrDefault("settings." + list + ".count", "0");
+        BigDecimal count = Values.number(told);
+        if (count == null || count.signum() < 0 || count.compareTo(MOST_ITEMS) > 0) {
+            faults.add(new Fault(list + ".count", "this is no number of " + list + ": " + told, "", true));
+            return names;
+        }
+        for (int i = 0; i < count.intValue(); i++) {
             names.add(flat.getOrDefault("settings." + list + "." + i + ".name", "unnamed-" + i));
         }
         return names;
     }
 
+    /** What is empty counts as absent. */
     private static void put(Entry entry, String name, String kept, Map<String, String> found, List<Fault> faults) {
+        if (kept.isEmpty()) {
+            return;
+        }
         String value = Values.read(entry, kept);
         if (value == null) {
             faults.add(new Fault(name, "this is not what " + name + " takes: " + kept, wanted(entry), true));
--- a/src/main/java/lupinwood/settings/Values.java
+++ b/src/main/java/lupinwood/settings/Values.java
@@ -14,8 +14,9 @@
     private static final BigDecimal KILO = new BigDecimal(1000);
     private static final Pattern ADDRESS = Pattern.compile("\\S+:[0-9]{1,5}");
     private static final Pattern HEX = Pattern.compile("[0-9a-fA-F]{1,16}");
-    /** No entry needs more; a longer one would take time and memory to reckon with. */
-    private static final int MOST_DIGITS = 40;
+    /** No number has more; a longer one would take time to read. */
+    private static final int MOST_DIGITS = 400;
+    /** No entry needs more, before or behind the point; more would take time and memory to reckon with. */
     private static final int MOST_POWER = 40;
 
     private Values() {}
@@ -59,14 +60,15 @@
         };
     }
 
-    /** Null for what is no number, or one too long to mean anything. */
+    /** Null for what is no number, or one too great to mean anything; what is too fine is rounded. */
     static BigDecimal number(String text) {
         if (text.length() > MOST_DIGITS) {
             return null;
         }
         try {
             BigDecimal number = new BigDecimal(text);
-            return Math.abs(number.scale()) <= MOST_POWER ? number : null;
+            return number.precision() - (long) number.scale() > MOST_POWER ? null
+                    : number.scale() > MOST_POWER ? number.setScale(MOST_POWER, RoundingMode.HALF_EVEN) : number;
         } catch (NumberFormatException e) {
             return null;
         }
--- a/src/test/java/lupinwood/net/NodeConfigTest.java
+++ b/src/test/java/lupinwood/net/NodeConfigTest.java
@@ -3,8 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.google.gson.Gson;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import lupinwood.node.Settings;
+import lupinwood.reload.Plan;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -53,4 +62,105 @@
                 .doubtful()).as("the platform's own, known not to be needed").isNull();
         assertThat(changed("\"step_ns\"", "\"prizes\": {\"waste\": 0.05}, \"step_ns\"").doubtful()).contains("settings.prizes.waste");
     }
+
+    /** The example with the JSON at one path after the other replaced, or taken out where there is nothing to stand there. */
+    private NodeConfig edited(String... edits) throws Exception {
+        JsonObject all = JsonParser.parseString(Files.readString(Path.of("examples/config.json"))).getAsJsonObject();
+        for (int i = 0; i < edits.length; i += 2) {
+            String[] path = edits[i].split("/");
+            JsonElement at = all;
+            for (String step : Arrays.copyOf(path, path.length - 1)) {
+                at = at.isJsonArray() ? at.getAsJsonArray().get(Integer.parseInt(step)) : at.getAsJsonObject().get(step);
+            }
+            at.getAsJsonObject().remove(path[path.length - 1]);
+            if (!edits[i + 1].isEmpty()) {
+                at.getAsJsonObject().add(path[path.length - 1], JsonParser.parseString(edits[i + 1]));
+            }
+        }
+        return NodeConfig.read(Files.writeString(folder.resolve("config.json"), all.toString()));
+    }
+
+    @Test
+    void whatIsLeftOutOrEmptyIsAbsentAndNoOthersValueStandsForIt() throws Exception {
+        String[] absent = {"settings/customers", "settings/domain", "settings/goal", "settings/bounds", "settings/rules",
+            "settings/group_size", "settings/over_share_worth", "settings/domain/gauges", "settings/domain/class_calls",
+            "settings/domain/class_skip_worth", "settings/domain/calls_out", "settings/domain/stop_mode",
+            "settings/services/2/late_value", "settings/services/0/window_ns", "settings/services/0/worth",
+            "settings/domain/advert", "limits/cores", "limits/memory_mb"};
+        for (String path : absent) {
+            for (String form : new String[] {"", "null", "[]", "\"\""}) {
+                NodeConfig config = edited(path, form);
+                assertThat(config.doubtful()).as(path + " " + form).isNull();
+                assertThat(config.meaning()).as(path + " " + form).isEqualTo(edited(path, "").meaning());
+            }
+        }
+        assertThat(edited("settings/domain/below", "null", "index", "\"\"", "settings/domain/class_calls", "[false, null]")
+                .index()).isNull();
+    }
+
+    @Test
+    void numbersMayBeWrittenInAnyFormAndNamesInAnySign() throws Exception {
+        NodeConfig config = edited("settings/services/0/give_up_ns", "8.0E+9", "settings/services/1/give_up_ns", "8000000000.00",
+                "settings/domain/cpus", "64.0", "limits/sockets", "1.024e3", "settings/customers/0/share",
+                "0.60000000000000000000000000000000000000000000000000001", "settings/customers/0/quota_rps", "1e-60",
+                "settings/rules/cold_share", "0.2970297029702970");
+        assertThat(config.doubtful()).isNull();
+        assertThat(config.sockets()).isEqualTo(1024);
+        assertThat(config.meaning().value("track quote abandon-time")).isEqualTo("8000000000");
+        assertThat(config.meaning().value("machine cores")).isEqualTo("64");
+        String[] names = {"a b", "a,b", "*", "#", "track * effect", "7", "REQ", "EXEC 1", "calls", "\u0439\u0446", "\"'", "a.b:c/d",
+            "\ud83d\ude00", "window", "a\tb", "settings.services.0.name", "null", "x=y"};
+        for (String name : names) {
+            String json = new Gson().toJson(name);
+            NodeConfig named = edited("settings/services/0/name", json, "settings/customers/0/name", json);
+            assertThat(named.doubtful()).as(name).isNull();
+            assertThat(named.settings()).as(name).containsEntry("services.0.name", Settings.word(name));
+            assertThat(named.meaning().value("track " + Settings.word(name) + " abandon-time")).as(name).isEqualTo("8000000000");
+            NodeConfig again = named.with(Plan.between(named.meaning(), edited("settings/services/0/name", json,
+                    "settings/customers/0/name", json, "settings/services/0/worth", "7",
+                    "settings/customers/0/quota_rps", "9").meaning()).result());
+            assertThat(again.settings()).as(name).containsEntry("services.0.worth", "7").containsEntry("customers.0.quota_rps", "9");
+        }
+    }
+
+    @Test
+    void listsOfAThousandAreReadInLittleTime() throws Exception {
+        List<String> tracks = new ArrayList<>();
+        List<String> customers = new ArrayList<>();
+        for (int i = 0; i < 1024; i++) {
+            tracks.add("{\"name\": \"t" + i + "\", \"effect\": \"pure\", \"aim_ns\": 2e9, \"give_up_ns\": 8e9}");
+            customers.add("{\"name\": \"c" + i + "\", \"quota_rps\": 0}");
+        }
+        String flags = "[" + "true,".repeat(1023) + "true]";
+        long begun = System.nanoTime();
+        NodeConfig config = edited("settings/services", tracks.toString(), "settings/customers", customers.toString(),
+                "settings/domain/class_calls", flags, "settings/azs", "[" + "\"z\",".repeat(1023) + "\"z\"]");
+        assertThat(Plan.between(config.meaning(), config.meaning()).isEmpty()).isTrue();
+        assertThat(config.meaning().tracks()).hasSize(1024);
+        assertThat(config.meaning().value("track t1023 calls")).isEqualTo("true");
+        assertThat(System.nanoTime() - begun).isLessThan(5_000_000_000L);
+    }
+
+    @Test
+    void whatNoNodeCanServeWithIsRefusedByItsEntry() {
+        String[][] wrong = {{"settings/services", "", "there is no track"},
+            {"settings/services/0/give_up_ns", "null", "'abandon-time' of track quote is missing"},
+            {"settings/services/0/aim_ns", "\"\"", "'agreed-time' of track quote is missing"},
+            {"settings/services/0/effect", "\"idempotent\"", "not what track quote effect takes: idempotent"},
+            {"settings/services/1/name", "\"quote\"", "two entries 'track quote'"},
+            {"settings/services", "{\"count\": \"many\"}", "no number of services: many"},
+            {"settings/services", "{\"count\": 1e9}", "no number of services: 1e9"},
+            {"settings/domain/memory_kb", "0", "0KB is too little for machine memory"},
+            {"settings/domain/memory_kb", "NaN", "not what machine memory takes: NaN"},
+            {"settings/domain/run_mem_factor", "-1", "-1 is too little"},
+            {"settings/group_size", "-3", "-3 is too little for group-size"},
+            {"index", "null", "'index' is missing"},
+            {"settings/domain/calls_out", "0.0", "0 calls out leave none", "settings/domain/class_calls", "[true, true, true]"},
+            {"limits/sockets", "31", "leave none for calls"}};
+        for (String[] one : wrong) {
+            assertThatThrownBy(() -> edited(Arrays.stream(one).filter(text -> !text.equals(one[2])).toArray(String[]::new)))
+                    .as(one[0] + " " + one[1]).isInstanceOf(NodeConfig.Unusable.class)
+                    .hasMessageContaining(one[2]).hasMessageNotContaining("\n");
+        }
+    }
 }
