Serve with settings that leave a sound way, and tell the doubt

A start was refused for a class without an effect, a keyed class without a window, an aim past the deadline, a step that is absent or long beside a deadline of 0.3 s, an unknown way to stop, advise or call, 1.5 cores, a group of no node (the list as at this start may be empty), 2^20 descriptors and more, limits that nothing reads, two customers of one name, no index where no class calls, no calls out where a class does without. A node serves soundly with each.

Each entry now says what it bears from the platform (Lapse: none, less, more, a fraction, another word) and what counts then; the check makes a doubt of it, told in one line and served. In the language it stays a mistake. The stand-ins come from the deployment itself: the window is the class's own deadline, since who may repeat a request gives it up by then; no effect is the one that is never run twice; the step is the sockets' own pace. Refused as before, by entry: an unknown effect, a class without its times, two classes of one name, negative numbers, no memory.

--- a/src/main/java/lupinwood/config/Reference.java
+++ b/src/main/java/lupinwood/config/Reference.java
@@ -1,5 +1,6 @@
 package lupinwood.config;
 
+import java.util.stream.Collectors;
 import lupinwood.settings.Change;
 import lupinwood.settings.Entry;
 import lupinwood.settings.Meaning;
@@ -18,6 +19,9 @@
             out.append("    bounds:   ").append(bounds(entry)).append('\n');
         }
         out.append("    default:  ").append(entry.required() ? "none, it is needed" : entry.otherwise()).append('\n');
+        if (!entry.instead().isEmpty()) {
+            out.append("    amiss:    ").append(amiss(entry)).append('\n');
+        }
         out.append("    changes:  ").append(changes(entry)).append('\n');
         out.append("    in JSON:  ").append(entry.key()).append('\n');
         return out.toString();
@@ -33,6 +37,7 @@
                             : "`" + String.join("`, `", entry.saidAs()) + "`")
                     .append(" | ").append(entry.least() == null ? "" : bounds(entry))
                     .append(" | ").append(entry.required() ? "needed" : entry.otherwise())
+                    .append(entry.instead().isEmpty() ? "" : ". " + amiss(entry))
                     .append(" | ").append(changes(entry)).append(" | ").append(entry.meaning()).append(" |\n");
         }
         return out.toString();
@@ -48,6 +53,18 @@
                 + Meaning.said(name, entry.most().toPlainString());
     }
 
+    /** What the platform's form may get wrong, and what counts then. */
+    private static String amiss(Entry entry) {
+        String what = entry.lapses().stream().sorted().map(lapse -> switch (lapse) {
+            case ABSENT -> "none";
+            case TOO_LITTLE -> "less";
+            case TOO_MUCH -> "more";
+            case FRACTION -> "a fraction";
+            case UNKNOWN_WORD -> "another word";
+        }).collect(Collectors.joining(" or "));
+        return "With " + what + " from the platform: " + entry.instead();
+    }
+
     private static String changes(Entry entry) {
         return entry.change().said() + (entry.change() == Change.RESTART || entry.change() == Change.REFUSED
                 ? ": " : ", since ") + entry.because();
--- a/src/main/java/lupinwood/net/Decider.java
+++ b/src/main/java/lupinwood/net/Decider.java
@@ -31,7 +31,7 @@
     /**
      * Rounds begin no closer together: what comes at rest is dealt with at once, what follows waits as long.
      */
-    private static final long PACE = TimeUnit.MILLISECONDS.toNanos(1);
+    static final long PACE = TimeUnit.MILLISECONDS.toNanos(1);
     private static final long LONGEST_STOP = 50;
     private static final long LONGEST_WAIT = TimeUnit.SECONDS.toNanos(1);
 
--- a/src/main/java/lupinwood/net/NodeConfig.java
+++ b/src/main/java/lupinwood/net/NodeConfig.java
@@ -5,10 +5,12 @@
 import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.io.Reader;
+import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -48,6 +50,8 @@
         List<Fault> doubts) {
 
     private static final String SETTINGS = "settings.";
+    private static final String STEP = "step_ns";
+    private static final BigDecimal MOST_SOCKETS = Schema.named("limits descriptors").most();
     private static final Pattern PLACE = Pattern.compile("\\.\\d{1,6}\\.");
 
     /** The configuration can't be used; the message is one line. */
@@ -116,10 +120,24 @@
                 settings.put(key.substring(SETTINGS.length()), kept);
             }
         });
+        settings.put(STEP, Long.toString(step(meaning)));
         return new NodeConfig(flat.get("name"), address(flat, "listen"), address(flat, "executor"),
                 address(flat, "index"), address(flat, "naming"), Long.parseUnsignedLong(flat.get("seed"), 16),
                 new Span(meaning.number("stop", null).longValue()),
-                meaning.number("limits descriptors", null).intValue(), settings, meaning, List.copyOf(faults));
+                meaning.number("limits descriptors", null).min(MOST_SOCKETS).intValue(), settings, meaning, List.copyOf(faults));
+    }
+
+    /**
+     * The step in nanoseconds. Sockets have one of their own, which is fine enough for any ticket: it stands in for
+     * one that isn't told, or that would leave a ticket of this deployment no time.
+     */
+    private static long step(Meaning meaning) {
+        Entry entry = Schema.named("step");
+        BigDecimal shortest = meaning.tracks().stream().map(track -> meaning.number("track " + track + " abandon-time", null))
+                .min(Comparator.naturalOrder()).orElse(entry.most());
+        BigDecimal told = meaning.number("step", BigDecimal.ZERO);
+        boolean fits = told.compareTo(entry.least()) >= 0 && told.multiply(new BigDecimal(4)).compareTo(shortest) <= 0;
+        return fits ? told.longValue() : Math.min(Decider.PACE, shortest.longValue() / 8);
     }
 
     /** A fault of a JSON file, whose entries have no place in lines. */
--- a/src/main/java/lupinwood/node/Track.java
+++ b/src/main/java/lupinwood/node/Track.java
@@ -5,7 +5,8 @@
  *
  * @param calls its tickets may call below
  * @param agreedStretch the agreed time grows by this multiple of a ticket's own work
- * @param window how long a receipted ticket may come again
+ * @param effect where it isn't told, what is never run twice
+ * @param window how long a receipted ticket may come again; until its caller gives up, where it isn't told
  * @param lateValue the part of the credit that an answer after the agreed time earns
  * @param skipWorth the part of the credit that an answer without its call earns
  */
@@ -28,10 +29,13 @@
             case "token" -> Effect.RECEIPTED;
             default -> Effect.EFFECTFUL;
         };
+        Span abandon = settings.span(at + "give_up_ns");
+        // Who may repeat a ticket gives it up by then, over all its tries.
+        Span window = settings.text(at + "window_ns").isEmpty() ? abandon : settings.span(at + "window_ns");
         boolean below = !settings.is("domain.below", "off") && !settings.is("domain.below", "");
         return new Track(below && settings.item("domain.class_calls", place).equals("true"), effect,
                 settings.span(at + "aim_ns"), settings.number(at + "aim_stretch", 0),
-                settings.span(at + "give_up_ns"), settings.span(at + "window_ns"),
+                abandon, window,
                 settings.number(at + "worth", 1), settings.number(at + "late_value", 0),
                 skip.isEmpty() ? 0 : Double.parseDouble(skip));
     }
--- a/src/main/java/lupinwood/settings/Checks.java
+++ b/src/main/java/lupinwood/settings/Checks.java
@@ -72,18 +72,27 @@
     private void bounds() {
         meaning.values().forEach((name, value) -> {
             Entry entry = Meaning.entry(name);
-            if (entry == null || !entry.kind().isNumber() || entry.least() == null || wrong.contains(name)) {
+            if (entry == null || wrong.contains(name)) {
+                return;
+            }
+            if (entry.kind() == Kind.WORD && !entry.saidAs().contains(value)) {
+                fault(name, value + " is no " + entry.own() + " that is known here", Meaning.wanted(entry),
+                        !entry.bears(Lapse.UNKNOWN_WORD));
+            }
+            if (!entry.kind().isNumber() || entry.least() == null) {
                 return;
             }
             BigDecimal number = new BigDecimal(value);
             String bounds = "write a value from " + Values.said(entry, Values.plain(entry.least())) + " to "
                     + Values.said(entry, Values.plain(entry.most()));
             if (number.compareTo(entry.least()) < 0) {
-                fault(name, said(name) + " is too little for " + name, bounds, true);
+                fault(name, said(name) + " is too little for " + name, bounds,
+                        !entry.bears(Lapse.TOO_LITTLE) || number.signum() < 0);
             } else if (number.compareTo(entry.most()) > 0) {
-                fault(name, said(name) + " is too much for " + name, bounds, true);
+                fault(name, said(name) + " is too much for " + name, bounds, !entry.bears(Lapse.TOO_MUCH));
             } else if (entry.kind() == Kind.COUNT && number.stripTrailingZeros().scale() > 0) {
-                fault(name, said(name) + " is no whole number", "write a whole number, as 2", true);
+                fault(name, said(name) + " is no whole number", "write a whole number, as 2",
+                        !entry.bears(Lapse.FRACTION));
             }
         });
     }
@@ -110,21 +119,22 @@
             Entry entry = Meaning.entry(name);
             fault(name, "'" + entry.own() + "'" + of + " is missing", "add " + entry.own() + ": "
                     + (entry.saidAs().isEmpty() ? entry.kind().wanted() : "one of "
-                    + String.join(", ", entry.saidAs())), true);
+                    + String.join(", ", entry.saidAs())), !entry.bears(Lapse.ABSENT));
         }
     }
 
     private void lists() {
-        twice("track", meaning.tracks());
-        twice("customer", meaning.customers());
+        twice("track", meaning.tracks(), true);
+        // Two of one name share what is theirs, and no ticket is served otherwise for it.
+        twice("customer", meaning.customers(), false);
     }
 
-    private void twice(String list, List<String> names) {
+    private void twice(String list, List<String> names, boolean certain) {
         Set<String> seen = new HashSet<>();
         for (String name : names) {
             if (!seen.add(name)) {
                 fault(list + " " + name, "there are two entries '" + list + " " + name + "'",
-                        "give each " + list + " a name of its own", true);
+                        "give each " + list + " a name of its own", certain);
             }
         }
     }
@@ -168,23 +178,23 @@
             String window = at + "window";
             if (isSound(agreed) && isSound(abandon) && number(agreed).compareTo(number(abandon)) > 0) {
                 fault(agreed, "the agreed time " + said(agreed) + " is past the abandon time " + said(abandon)
-                        + " of track " + track, "write a time up to " + said(abandon), true);
+                        + " of track " + track, "write a time up to " + said(abandon), false);
             }
             if (isSound(abandon) && isSound("step") && number("step").multiply(new BigDecimal(4))
                     .compareTo(number(abandon)) > 0) {
                 fault("step", "the step " + said("step") + " leaves no time to answer a ticket of track " + track
-                        + " within " + said(abandon), "write a quarter of the shortest abandon-time or less", true);
+                        + " within " + said(abandon), "write a quarter of the shortest abandon-time or less", false);
             }
             boolean receipted = "receipted".equals(meaning.value(at + "effect"));
             if (receipted && meaning.value(window) == null) {
                 fault(window, "the receipted track " + track + " has no window, so a repeat could run twice",
-                        "add window: a time with its unit, no shorter than abandon-time", true);
+                        "add window: a time with its unit, no shorter than abandon-time", false);
             } else if (receipted && isSound(window) && isSound(abandon)
                     && number(window).compareTo(number(abandon)) < 0) {
                 fault(window, "the window " + said(window) + " is shorter than the abandon time " + said(abandon)
                         + " of receipted track " + track, "write " + said(abandon) + " or more", false);
             }
-            if ("true".equals(meaning.value(at + "calls")) && "nothing".equals(meaning.values()
+            if (calls(track) && "nothing".equals(meaning.values()
                     .getOrDefault("machine below", "nothing"))) {
                 fault(at + "calls", "tickets of track " + track + " may call, but there is nothing below to call",
                         "write #false, or say in machine what is below", false);
@@ -199,16 +209,23 @@
             return;
         }
         if (meaning.value("index") == null) {
+            boolean calls = meaning.tracks().stream().anyMatch(this::calls);
             fault("index", "'index' is missing, and machine below is " + below, "add index: "
-                    + Meaning.entry("index").kind().wanted(), true);
+                    + Meaning.entry("index").kind().wanted(), calls);
         }
         String most = "machine calls-out";
         if (below.equals("one-for-all") && isSound(most) && number(most).signum() == 0) {
+            boolean noneWithout = meaning.tracks().stream().allMatch(track -> calls(track)
+                    && meaning.number("track " + track + " skip-credit", BigDecimal.ZERO).signum() == 0);
             fault(most, said(most) + " calls out leave none of the one dependency to this node",
-                    "write this node's part of the calls that it survives", true);
+                    "write this node's part of the calls that it survives", noneWithout);
         }
     }
 
+    private boolean calls(String track) {
+        return "true".equals(meaning.value("track " + track + " calls"));
+    }
+
     private void addresses() {
         Map<String, String> first = new HashMap<>();
         for (String name : List.of("listen", "executor", "index", "naming", "ajp listen")) {
@@ -280,7 +297,7 @@
                     fault(name, "there is no track " + track, "write some of: "
                             + String.join(", ", meaning.tracks()), true);
                 }
-                if ("true".equals(meaning.value("track " + track + " calls"))) {
+                if (calls(track)) {
                     fault(name, "tickets of track " + track + " call, and servers that speak AJP can't tell of calls",
                             "write calls #false in track " + track, true);
                 }
@@ -303,7 +320,7 @@
                     + (voters.size() % 2 == 0 ? " outlives no more of them than one less would" : " is none that is meant"),
                     "name three or five voters", true);
         }
-        twice(Schema.VOTER, voters);
+        twice(Schema.VOTER, voters, true);
         Map<String, String> first = new HashMap<>();
         for (String voter : voters) {
             String name = "voter " + voter + " address";
--- a/src/main/java/lupinwood/settings/Entry.java
+++ b/src/main/java/lupinwood/settings/Entry.java
@@ -2,6 +2,7 @@
 
 import java.math.BigDecimal;
 import java.util.List;
+import java.util.Set;
 
 /**
  * One entry that a node can be told.
@@ -15,6 +16,8 @@
  * @param saidAs the same words as we write them
  * @param required whether a node can't do without it
  * @param otherwise what counts where it is absent, in words
+ * @param lapses what a node can serve with all the same: the platform's form is then taken, and told in the log
+ * @param instead what counts then, in words; empty where nothing may be amiss
  * @param change when a changed value counts
  * @param because why no sooner
  * @param meaning one sentence
@@ -29,6 +32,8 @@
         List<String> saidAs,
         boolean required,
         String otherwise,
+        Set<Lapse> lapses,
+        String instead,
         Change change,
         String because,
         String meaning) {
@@ -44,15 +49,20 @@
         return key.endsWith(".#");
     }
 
+    /** Whether a node can serve though the value is amiss in this. */
+    public boolean bears(Lapse lapse) {
+        return lapses.contains(lapse);
+    }
+
     /** Its last word. */
     public String own() {
         return name.substring(name.lastIndexOf(' ') + 1);
     }
 
-    /** A word as the JSON has it, for one as we write it; null where there is none. */
+    /** A word as the JSON has it, for one as we write it; any other as it is. */
     public String kept(String said) {
         int place = saidAs.indexOf(said);
-        return place < 0 ? null : words.get(place);
+        return place < 0 ? said : words.get(place);
     }
 
     public String said(String kept) {
--- a/src/main/java/lupinwood/settings/Schema.java
+++ b/src/main/java/lupinwood/settings/Schema.java
@@ -19,6 +19,11 @@
 import static lupinwood.settings.Kind.TEXT;
 import static lupinwood.settings.Kind.WORD;
 import static lupinwood.settings.Kind.WORDS;
+import static lupinwood.settings.Lapse.ABSENT;
+import static lupinwood.settings.Lapse.FRACTION;
+import static lupinwood.settings.Lapse.TOO_LITTLE;
+import static lupinwood.settings.Lapse.TOO_MUCH;
+import static lupinwood.settings.Lapse.UNKNOWN_WORD;
 
 import java.math.BigDecimal;
 import java.util.ArrayList;
@@ -77,9 +82,11 @@
         at("stop", "stop_ms", SPAN_MILLIS).from("1000000", HOUR).needed()
                 .change(AT_ONCE, "it is read when the notice to leave comes; after that no configuration is taken over")
                 .says("How long after the notice to leave the process is killed.");
-        at("step", "settings.step_ns", SPAN).from("1000", "1000000000").needed().change(RESTART, FIXED)
+        at("step", "settings.step_ns", SPAN).from("1000", "1000000000").needed()
+                .bears("the node's own pace on sockets", ABSENT, TOO_MUCH).change(RESTART, FIXED)
                 .says("The shortest time between two looks at the clock that the node can count on.");
         at("group-size", "settings.group_size", COUNT).from("1", "1000000").otherwise("1")
+                .bears("the number as it is, and 1 for less", TOO_LITTLE, TOO_MUCH, FRACTION)
                 .change(AT_ONCE, "customers' shares of this node are reckoned anew from it")
                 .says("How many nodes share the traffic; a customer's quota is split among them.");
         at("over-share-credit", "settings.over_share_worth", SHARE).from("0", "1").otherwise("100%")
@@ -87,11 +94,14 @@
                 .says("The part of its credit that a ticket beyond its customer's share is worth.");
 
         at("limits cores", "limits.cores", NUMBER).from("0.001", "1024").otherwise("not told")
+                .bears("nothing, since nothing hangs on it", TOO_LITTLE, TOO_MUCH)
                 .change(RESTART, "the platform sets it").says("The cores that this process may use.");
         at("limits memory", "limits.memory_mb", MEMORY_MB).from("16000000", "1000000000000").otherwise("not told")
+                .bears("nothing, since nothing hangs on it", TOO_LITTLE, TOO_MUCH)
                 .change(RESTART, "the JVM's heap has its size from the start")
                 .says("The memory that this process may use.");
         at("limits descriptors", "limits.sockets", COUNT).from("1", "1000000").needed()
+                .bears("the whole number below it, and 1000000 for more", TOO_MUCH, FRACTION)
                 .change(RESTART, "tables are laid out for it").says("How many descriptors this process may hold.");
 
         at("customer * share", "settings.customers.#.share", SHARE).from("0", "1").otherwise("not told")
@@ -103,6 +113,7 @@
 
         at("track * effect", "settings.services.#.effect", WORD)
                 .words("pure", "pure", "token", "receipted", "side_effect", "effectful").needed()
+                .bears("effectful, which is never run twice", ABSENT)
                 .change(REFUSED, "marks kept under the old effect would no longer stop a second run")
                 .says("What running a ticket of the track twice would do.");
         at("track * credit", "settings.services.#.worth", NUMBER).from("0", "1000000000").otherwise("1")
@@ -120,7 +131,7 @@
                 .change(NEW_TICKETS, "a ticket in hand is owed its answer by the time it came under")
                 .says("How long after it came the caller gives a ticket up.");
         at("track * window", "settings.services.#.window_ns", SPAN).from("0", DAY)
-                .otherwise("0s; a receipted track must have one")
+                .otherwise("0s; a receipted track must have one, and is given its abandon time where the platform tells none")
                 .change(NEW_TICKETS, "a receipt in hand is kept for the window that it was promised")
                 .says("How long after it came a receipted ticket may come again and must not run twice.");
         at("track * calls", "settings.domain.class_calls.#", FLAG).otherwise("#false")
@@ -129,18 +140,22 @@
                 .change(RESTART, "calls in hand are cut by it")
                 .says("The part of the credit that an answer without its call earns.");
 
-        at("machine cores", "settings.domain.cpus", COUNT).from("1", "4096").otherwise("1").change(RESTART, FIXED)
+        at("machine cores", "settings.domain.cpus", COUNT).from("1", "4096").otherwise("1")
+                .bears("the number as it is", FRACTION).change(RESTART, FIXED)
                 .says("The executor's cores.");
         at("machine memory", "settings.domain.memory_kb", MEMORY_KB).from("1000", "1000000000000000")
                 .otherwise("no bound").change(RESTART, FIXED).says("The memory in which tickets are held and run.");
         at("machine entry-memory", "settings.domain.entry_kb", MEMORY_KB).from("0", "1000000000000")
                 .otherwise("0KB").change(RESTART, FIXED).says("The memory that one kept receipt takes.");
         at("machine run-memory-factor", "settings.domain.run_mem_factor", NUMBER).from("1", "1000").otherwise("1")
+                .bears("the number as it is", TOO_LITTLE)
                 .change(RESTART, FIXED).says("A running ticket takes this multiple of its memory.");
         at("machine below", "settings.domain.below", WORD)
                 .words("off", "nothing", "one_for_all", "one-for-all", "tier", "tier").otherwise("nothing")
+                .bears("a next tier, of which nothing is told", UNKNOWN_WORD)
                 .change(RESTART, FIXED).says("What tickets call: nothing, one dependency of all nodes, or a next tier.");
         at("machine upstreams", "settings.domain.upstreams", COUNT).from("0", "1000000000").otherwise("1")
+                .bears("the number as it is", FRACTION)
                 .change(AT_ONCE, JUDGED).says("How many callers share this node's allowance.");
         at("machine calls-out", "settings.domain.calls_out", NUMBER).from("0", "1000000000")
                 .otherwise("no bound").change(RESTART, "calls in hand were let out under it")
@@ -156,12 +171,15 @@
                 .says("What the executor's gauges are called, in their order.");
         at("machine stop-mode", "settings.domain.stop_mode", WORD)
                 .words("off", "off", "discard", "discard", "freeze", "freeze").otherwise("off")
+                .bears("off", UNKNOWN_WORD)
                 .change(RESTART, FIXED).says("Whether running work can be stopped, losing or keeping what was done.");
         at("machine advice", "settings.domain.advert", WORD)
                 .words("off", "off", "floor", "floor", "allowance", "allowance", "weight", "weight").otherwise("off")
+                .bears("off", UNKNOWN_WORD)
                 .change(RESTART, "callers hold on to the last value and its meaning")
                 .says("What callers take the free value on answers to mean.");
         at("machine advice-heeded", "settings.domain.heeded_ns", SPAN).from("0", HOUR).otherwise("0s")
+                .bears("nothing, since nothing hangs on it", TOO_MUCH)
                 .change(RESTART, FIXED).says("How long callers keep the free value in mind.");
         at("machine idle-connections", "settings.domain.keepalive_max_ns", SPAN).from("0", DAY)
                 .otherwise("an hour").change(NEW_CONNECTIONS, "a connection that is idle keeps the time it was given")
@@ -181,11 +199,13 @@
         at("bounced tells-when", "settings.bounds.retry_after", FLAG).otherwise("#false").change(RESTART, FIXED)
                 .says("Whether callers are told when to come back.");
         at("rules answer-slack", "settings.rules.answer_slack_ns", SPAN).from("0", HOUR).otherwise("0s")
+                .bears("nothing, since nothing hangs on it", TOO_MUCH)
                 .change(RESTART, FIXED).says("How long past its abandon time a ticket's answer still counts.");
         at("rules drain-grace", "settings.rules.drain_grace_ns", SPAN).from("0", HOUR).otherwise("0s")
                 .change(AT_ONCE, "it counts from the notice to leave; after that no configuration is taken over")
                 .says("Nothing that comes this long after the notice to leave is run.");
         at("rules cold-share", "settings.rules.cold_share", SHARE).from("0.000001", "1").otherwise("100%")
+                .bears("the share as it is", TOO_LITTLE)
                 .change(RESTART, FIXED).says("The part of its speed that a cold machine has at least.");
         at("rules warm-after", "settings.rules.ramp_time_ns", SPAN).from("0", DAY).otherwise("0s")
                 .change(RESTART, FIXED).says("When a cold machine is warm at the latest.");
@@ -313,6 +333,8 @@
         private final List<String> said = new ArrayList<>();
         private boolean required;
         private String otherwise = "";
+        private Set<Lapse> lapses = Set.of();
+        private String instead = "";
         private Change change;
         private String because;
 
@@ -346,6 +368,12 @@
             return this;
         }
 
+        Builder bears(String what, Lapse... amiss) {
+            instead = what;
+            lapses = Set.of(amiss);
+            return this;
+        }
+
         Builder change(Change when, String why) {
             change = when;
             because = why;
@@ -354,7 +382,7 @@
 
         void says(String meaning) {
             Entry entry = new Entry(name, key, kind, least, most, List.copyOf(kept), List.copyOf(said), required,
-                    otherwise, change, because, meaning);
+                    otherwise, lapses, instead, change, because, meaning);
             ALL.add(entry);
             BY_NAME.put(name, entry);
             BY_KEY.put(key, entry);
--- a/src/main/java/lupinwood/settings/Values.java
+++ b/src/main/java/lupinwood/settings/Values.java
@@ -28,7 +28,8 @@
             return number == null ? null : plain(number.multiply(unit(entry.kind())));
         }
         return switch (entry.kind()) {
-            case WORD -> entry.words().contains(kept) ? entry.said(kept) : null;
+            case WORD -> entry.words().contains(kept) || entry.bears(Lapse.UNKNOWN_WORD) && !kept.isEmpty()
+                    ? entry.said(kept) : null;
             case FLAG -> kept.equals("true") || kept.equals("false") ? kept : null;
             case ADDRESS -> isAddress(kept) ? kept : null;
             case HEX -> HEX.matcher(kept).matches() ? kept : null;
--- a/src/test/java/lupinwood/net/NodeConfigTest.java
+++ b/src/test/java/lupinwood/net/NodeConfigTest.java
@@ -12,7 +12,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import lupinwood.node.Effect;
 import lupinwood.node.Settings;
+import lupinwood.node.Span;
+import lupinwood.node.Track;
 import lupinwood.reload.Plan;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -98,6 +101,41 @@
                 .index()).isNull();
     }
 
+    @Test
+    void whatANodeCanServeWithIsServedAndTold() throws Exception {
+        String[][] odd = {{"settings/services/2/window_ns", "", "unlock has no window"},
+            {"settings/services/0/effect", "", "'effect' of track quote is missing"},
+            {"settings/services/0/aim_ns", "9e9", "past the abandon time 8s of track quote"},
+            {"settings/step_ns", "", "'step' is missing"}, {"settings/step_ns", "9e9", "9s is too much for step"},
+            {"settings/step_ns", "1000000000.0", "leaves no time to answer", "settings/services/0/give_up_ns", "3e8"},
+            {"settings/group_size", "0", "0 is too little for group-size"},
+            {"settings/domain/cpus", "1.5", "1.5 is no whole number"},
+            {"settings/domain/run_mem_factor", "0.5", "0.5 is too little"},
+            {"settings/rules/cold_share", "0", "0% is too little"},
+            {"settings/domain/stop_mode", "\"hibernate\"", "hibernate is no stop-mode"},
+            {"settings/domain/advert", "\"price\"", "price is no advice"},
+            {"settings/domain/below", "\"mesh\"", "mesh is no below"},
+            {"settings/domain/calls_out", "0", "0 calls out leave none"},
+            {"index", "", "'index' is missing", "settings/domain/class_calls", "[false, false, false]"},
+            {"settings/customers/1/name", "\"north\"", "there are two entries 'customer north'"},
+            {"limits/sockets", "1073741816", "1073741816 is too much for limits descriptors"},
+            {"limits/cores", "0", "0 is too little for limits cores"}};
+        for (String[] one : odd) {
+            NodeConfig config = one.length > 3 ? edited(one[0], one[1], one[3], one[4]) : edited(one[0], one[1]);
+            assertThat(config.doubtful()).as(one[0] + " " + one[1]).contains(one[2]).doesNotContain("\n");
+            long step = Long.parseLong(config.settings().get("step_ns"));
+            assertThat(step).isBetween(1_000L, 4_000_000L);
+            assertThat(config.sockets()).isBetween(1024, 1_000_000);
+        }
+        Track unlock = Track.read(new Settings(edited("settings/services/2/window_ns", "").settings()), 2);
+        assertThat(unlock.window()).as("its own abandon time").isEqualTo(Span.ofSeconds(4));
+        assertThat(Track.read(new Settings(edited("settings/services/0/effect", "").settings()), 0).effect())
+                .isEqualTo(Effect.EFFECTFUL);
+        // A calm default never stands for what is told.
+        assertThat(Track.read(new Settings(edited("settings/services/2/window_ns", "0").settings()), 2).window())
+                .isEqualTo(Span.ZERO);
+    }
+
     @Test
     void numbersMayBeWrittenInAnyFormAndNamesInAnySign() throws Exception {
         NodeConfig config = edited("settings/services/0/give_up_ns", "8.0E+9", "settings/services/1/give_up_ns", "8000000000.00",
