--- a/src/main/java/lupinwood/lab/NodeProcess.java
+++ b/src/main/java/lupinwood/lab/NodeProcess.java
@@ -24,6 +24,8 @@
     private final String name;
     private final Path folder;
     private final Path config;
+    /** The deploy file's command, for the shell; null for one made up here. */
+    private final String run;
     private final Consumer<String> hears;
     private final Deque<String> lines = new ArrayDeque<>();
     private volatile Process process;
@@ -34,14 +36,30 @@
 
     /** @param hears hears each line of its log */
     NodeProcess(String name, Path folder, String config, Consumer<String> hears) throws IOException {
+        this(name, folder, "node.kdl", config, null, hears);
+    }
+
+    private NodeProcess(String name, Path folder, String file, String config, String run, Consumer<String> hears)
+            throws IOException {
         this.name = name;
         this.folder = folder;
+        this.run = run;
         this.hears = hears;
         Files.createDirectories(folder);
-        this.config = folder.resolve("node.kdl");
+        this.config = folder.resolve(file);
         Files.writeString(this.config, config);
     }
 
+    /**
+     * One as the platform starts it: by the shell, in this process's own folder, told of its configuration by the environment.
+     *
+     * @param config the platform's JSON
+     * @param run 'run' of the deploy file
+     */
+    static NodeProcess deployed(String name, Path folder, String config, String run) throws IOException {
+        return new NodeProcess(name, folder, "node.json", config, run, line -> { });
+    }
+
     static List<String> java(List<String> options, String... words) {
         List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
         command.addAll(options);
@@ -61,10 +79,7 @@
         synchronized (lines) {
             lines.clear();
         }
-        List<String> words = new ArrayList<>(List.of(wrong.isEmpty() ? "serve" : "lab-node", "--config", config.toString()));
-        words.addAll(wrong);
-        Process one = new ProcessBuilder(java(LIMITS, words.toArray(String[]::new)))
-                .directory(folder.toFile()).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        Process one = command().redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
         process = one;
         // Guards against nodes that outlive the one who plays, should that be ended in the middle.
         Runtime.getRuntime().addShutdownHook(new Thread(one::destroyForcibly));
@@ -85,6 +100,17 @@
         });
     }
 
+    private ProcessBuilder command() {
+        if (run != null) {
+            ProcessBuilder shell = new ProcessBuilder("/bin/sh", "-c", run);
+            shell.environment().put("RELAY_CONFIG", config.toString());
+            return shell;
+        }
+        List<String> words = new ArrayList<>(List.of(wrong.isEmpty() ? "serve" : "lab-node", "--config", config.toString()));
+        words.addAll(wrong);
+        return new ProcessBuilder(java(LIMITS, words.toArray(String[]::new))).directory(folder.toFile());
+    }
+
     /** From its next start on it is started so. */
     void wrong(List<String> options) {
         wrong = List.copyOf(options);
