Bound the warm-up by its work: 400 made-up tickets, not 1,500

Cause: the warm-up went on for 1,500 tickets or 0.8 s before the door opened, though the JVM (TieredStopAtLevel=1) compiles a method after 200 calls, so that nearly all a ticket needs is compiled after twice as many.

Change: 400 tickets; the 0.8 s by the clock stay as the bound on a machine that is slow. The clock can be given, for the test.

The test fails with 1,500.

--- a/src/main/java/lupinwood/net/WarmUp.java
+++ b/src/main/java/lupinwood/net/WarmUp.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import lupinwood.core.Answer;
 import lupinwood.core.ConnectionId;
 import lupinwood.core.Deadlines;
@@ -25,9 +26,13 @@
  * compiled most of what the first real ones need. Nothing of it leaves the process or is kept.
  */
 final class WarmUp implements Dispatchers, Executor, Index {
-    private static final int TICKETS = 1500;
+    /**
+     * Twice the 200 calls after which the JVM compiles a method: each that a ticket calls once is compiled by then. More
+     * only holds the door shut.
+     */
+    static final int TICKETS = 400;
     private static final long LONGEST_NANOS = 800_000_000L;
-    private static final int AT_ONCE = 8;
+    static final int AT_ONCE = 8;
     private static final byte[] BODY = "warm".getBytes(StandardCharsets.UTF_8);
 
     private final Deadlines deadlines = new Deadlines();
@@ -58,12 +63,21 @@
 
     /** Returns how many answers there were. */
     static int play(Map<String, String> settings, long seed, Host.Maker maker) {
+        return play(settings, seed, maker, System::nanoTime);
+    }
+
+    /**
+     * Returns how many answers there were.
+     *
+     * @param steady in nanoseconds, never back
+     */
+    static int play(Map<String, String> settings, long seed, Host.Maker maker, LongSupplier steady) {
         WarmUp warmUp = new WarmUp(settings, seed, maker);
-        long begun = System.nanoTime();
+        long begun = steady.getAsLong();
         try {
             warmUp.host.welcomed(false, Span.ZERO);
             ConnectionId connection = warmUp.host.connected();
-            while (warmUp.tag < TICKETS && System.nanoTime() - begun < LONGEST_NANOS) {
+            while (warmUp.tag < TICKETS && steady.getAsLong() - begun < LONGEST_NANOS) {
                 warmUp.round(connection);
             }
         } catch (Malformed e) {
--- a/src/test/java/lupinwood/net/ServingTest.java
+++ b/src/test/java/lupinwood/net/ServingTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import lupinwood.Brain;
 import lupinwood.core.*;
@@ -358,6 +359,15 @@
         assertThat(logged.toString()).containsPattern("warmed up by [1-9].*\n.*n1 listens");
     }
 
+    @Test
+    void theWarmUpEndsByItsWorkAndOnASlowMachineByTheClock() throws Exception {
+        assertThat(WarmUp.play(config().settings(), 1, Brain::new, () -> 0)).as("on a machine that takes no time")
+                .isBetween(WarmUp.TICKETS / 2, WarmUp.TICKETS + WarmUp.AT_ONCE).isLessThan(500);
+        AtomicLong clock = new AtomicLong();
+        assertThat(WarmUp.play(config().settings(), 1, Brain::new, () -> clock.addAndGet(300_000_000)))
+                .as("two rounds of 0.3 s fit").isLessThanOrEqualTo(2 * WarmUp.AT_ONCE);
+    }
+
     @Test
     void aFloodOfOneKindOfLineHidesNoOther() {
         Log calm = new Log(new PrintStream(logged, true), () -> Instant.ofEpochSecond(7));
