Start from an archive of the classes that a node loads, made by the build

Cause: of the 0.8 s of core time that a start takes on a full machine, 0.2 s go into reading, checking and linking some 1,200 classes out of the jar (2,266 are loaded, 1,072 of them from the JDK's own archive).

Change: the build has one process, started by 'run' itself with stand-ins (lab class-archive), write the classes that it loaded to target/lupinwood.jsa at its end (JDK's AppCDS); run maps it where it is there. Without it, or with one of another JVM or jar, the JVM goes on as before: 'run' looks with the shell's own words only, no further process, and ends by exec in one process.

--- a/src/main/java/lupinwood/lab/Experiments.java
+++ b/src/main/java/lupinwood/lab/Experiments.java
@@ -7,7 +7,7 @@
 public final class Experiments {
     public static final String NAMES = "tour, reload-storm, config-cost, pools, mixed-fronts, duties-time, duties, duties-no-token, duties-late, duties-no-early-stop, duties-calm,"
             + " fleet-cost, trials, fleet-tour, hand-overs, fleet-on-off, permits, release, releases-time, release-tour, release-ways, rest, failover-time, plan-model, failover,"
-            + " failover-alone, start-time";
+            + " failover-alone, start-time, class-archive";
 
     private Experiments() {}
 
@@ -50,6 +50,7 @@
             case "failover-alone" -> new FailoverRun(seed, size > 0 ? size : 12, seconds > 0 ? Math.max(1, seconds / 21) : 6,
                     false, log);
             case "start-time" -> new StartTime(size > 0 ? size : 30, out);
+            case "class-archive" -> StartTime.archiving(out);
             case "releases-time" -> new ReleasesInTime(seed, size > 0 ? size : 200, out);
             case "permits" -> new PermitsRun(seed, seconds > 0 ? seconds : 60, log);
             default -> null;
--- a/src/main/java/lupinwood/lab/NodeProcess.java
+++ b/src/main/java/lupinwood/lab/NodeProcess.java
@@ -33,6 +33,7 @@
     private int starts;
     /** What is wrong with the process at its next starts, as options of the laboratory's launcher. */
     private volatile List<String> wrong = List.of();
+    private volatile String options = "";
 
     /** @param hears hears each line of its log */
     NodeProcess(String name, Path folder, String config, Consumer<String> hears) throws IOException {
@@ -60,6 +61,11 @@
         return new NodeProcess(name, folder, "node.json", config, run, line -> { });
     }
 
+    /** From its next start on the JVM has these options too. */
+    void options(String more) {
+        options = more;
+    }
+
     static List<String> java(List<String> options, String... words) {
         List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
         command.addAll(options);
@@ -104,6 +110,9 @@
         if (run != null) {
             ProcessBuilder shell = new ProcessBuilder("/bin/sh", "-c", run);
             shell.environment().put("RELAY_CONFIG", config.toString());
+            if (!options.isEmpty()) {
+                shell.environment().put("JAVA_TOOL_OPTIONS", options);
+            }
             return shell;
         }
         List<String> words = new ArrayList<>(List.of(wrong.isEmpty() ? "serve" : "lab-node", "--config", config.toString()));
--- a/src/main/java/lupinwood/lab/StartTime.java
+++ b/src/main/java/lupinwood/lab/StartTime.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -30,6 +31,7 @@
     private static final long PATIENCE_MILLIS = 60_000;
     private static final long LOOK_AGAIN_MILLIS = 20;
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"([^\"]*)\"");
+    private static final Pattern ARCHIVE = Pattern.compile("-XX:SharedArchiveFile=([^ ;]+)");
     private static final String TRACK = "history";
     private static final Path DEPLOY = Path.of("deploy/balancer.toml");
 
@@ -56,34 +58,80 @@
     }
 
     private final int processes;
+    private final boolean archives;
     private final PrintStream out;
     private final List<Started> all = new ArrayList<>();
     private int nextPort = 10_000 + (int) (ProcessHandle.current().pid() % 90) * 200;
 
     StartTime(int processes, PrintStream out) {
+        this(processes, false, out);
+    }
+
+    private StartTime(int processes, boolean archives, PrintStream out) {
         this.processes = processes;
+        this.archives = archives;
         this.out = out;
     }
 
+    /**
+     * Has one process write down the classes that it loaded, into the archive that 'run' names: the next ones map them
+     * in place of reading and checking each.
+     */
+    static StartTime archiving(PrintStream out) {
+        return new StartTime(1, true, out);
+    }
+
     @Override
     public Outcome run() throws Exception {
         Matcher run = RUN.matcher(Files.isReadable(DEPLOY) ? Files.readString(DEPLOY) : "");
         if (!run.find()) {
             return new Outcome("start-time: nothing started", List.of("no 'run' in " + DEPLOY + ": start it from the root"));
         }
-        Path folder = Files.createTempDirectory("lab");
+        Matcher named = ARCHIVE.matcher(run.group(1));
+        if (archives && !named.find()) {
+            return new Outcome("class-archive: nothing started", List.of("'run' in " + DEPLOY + " names no archive"));
+        }
+        return archives ? archive(run.group(1), Path.of(named.group(1))) : measure(run.group(1));
+    }
+
+    private Outcome archive(String run, Path archive) throws Exception {
+        Files.deleteIfExists(archive); // else it would be used, and the new one have no classes
+        play(run, one -> one.process.options("-XX:ArchiveClassesAtExit=" + archive), one -> one.process.leave(PATIENCE_MILLIS / 1000));
+        boolean there = Files.isReadable(archive);
+        return new Outcome("class-archive: " + archive + (there ? " of " + Files.size(archive) / 1024 + " KB" : ""),
+                there ? List.of() : List.of("no archive was written, which costs start time and nothing else"));
+    }
+
+    private Outcome measure(String run) throws Exception {
         double load = ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage();
+        play(run, one -> { }, one -> true);
+        return outcome(load);
+    }
+
+    /** What may be done with one of them, on its own thread. */
+    private interface Step {
+        boolean with(Started one) throws InterruptedException;
+    }
+
+    /**
+     * @param before done with each before it starts
+     * @param after done with each once it has satisfied a ticket
+     */
+    private void play(String run, Consumer<Started> before, Step after) throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("lab");
         try (Door below = new Door(0, StandIns::index); Door naming = new Door(0, StandIns::naming)) {
             for (int i = 0; i < processes; i++) {
-                all.add(prepared("n" + i, folder, run.group(1), below, naming));
+                all.add(prepared("n" + i, folder, run, below, naming));
             }
             CountDownLatch done = new CountDownLatch(processes);
             for (Started one : all) {
+                before.accept(one);
                 one.begun = System.nanoTime();
                 one.process.start();
                 Door.daemon(() -> {
                     try {
                         follow(one);
+                        after.with(one);
                     } catch (InterruptedException e) {
                         Thread.currentThread().interrupt();
                     } finally {
@@ -101,7 +149,6 @@
                 left.sorted((a, b) -> b.compareTo(a)).forEach(path -> path.toFile().delete());
             }
         }
-        return outcome(load);
     }
 
     private Outcome outcome(double load) {
--- a/src/test/java/lupinwood/cli/ServeProcessTest.java
+++ b/src/test/java/lupinwood/cli/ServeProcessTest.java
@@ -6,10 +6,12 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -18,6 +20,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The program as a process of its own, told to reload by signals and by files. */
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -29,14 +33,17 @@
     private final List<String> lines = new ArrayList<>();
 
     private void start(String prelude, String... options) throws IOException {
+        launch(prelude + "exec '" + System.getProperty("java.home") + "/bin/java' -Xshare:auto -cp '"
+                + System.getProperty("java.class.path") + "' lupinwood.cli.Main serve --config config.json "
+                + String.join(" ", options));
+    }
+
+    private void launch(String command) throws IOException {
         int port;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
         write("config.json", 1, port);
-        String command = prelude + "exec '" + System.getProperty("java.home") + "/bin/java' -Xshare:auto -cp '"
-                + System.getProperty("java.class.path") + "' lupinwood.cli.Main serve --config config.json "
-                + String.join(" ", options);
         process = new ProcessBuilder("/bin/sh", "-c", command).directory(folder.toFile()).start();
         log = process.errorReader();
         this.port = port;
@@ -161,6 +168,30 @@
         assertThat(left).as("loaded, and not named in deploy/balancer.toml").isEmpty();
     }
 
+    /** The build's archive of classes saves time; without it, or with one that can't be used, a node starts the same. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "this is no archive", "of another JVM"})
+    void theDeployedCommandStartsWithoutItsArchiveOfClassesToo(String archive) throws Exception {
+        Matcher run = Pattern.compile("(?m)^run = \"([^\"]*)\"").matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        assertThat(run.find()).isTrue();
+        String jar = " -jar target/lupinwood.jar ";
+        assertThat(run.group(1)).contains(jar, "target/lupinwood.jsa", "exec env").doesNotContain("$(", "`");
+        Files.createDirectory(folder.resolve("target"));
+        if (!archive.isEmpty()) {
+            byte[] bytes = archive.getBytes(StandardCharsets.UTF_8);
+            Path ours = Path.of(System.getProperty("java.home"), "lib", "server", "classes.jsa");
+            if (archive.startsWith("of another") && Files.isReadable(ours)) {
+                bytes = Files.readAllBytes(ours);
+                int name = new String(bytes, 0, 8192, StandardCharsets.ISO_8859_1).indexOf(" VM (");
+                assertThat(name).as("where it names the JVM that wrote it").isPositive();
+                Arrays.fill(bytes, name, name + 20, (byte) 'x');
+            }
+            Files.write(folder.resolve("target/lupinwood.jsa"), bytes);
+        }
+        launch(run.group(1).replace(jar, " -cp '" + System.getProperty("java.class.path") + "' lupinwood.cli.Main ")
+                + " --config config.json");
+    }
+
     @Test
     void bothTriggersReloadOnceAndABurstOfSignalsEndsInTheNewestFile() throws Exception {
         start("", "--watch", "on");
