--- a/src/test/java/lupinwood/config/ReferenceTest.java
+++ b/src/test/java/lupinwood/config/ReferenceTest.java
@@ -4,9 +4,16 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import lupinwood.load.FileSources;
 import lupinwood.net.NodeConfig;
 import lupinwood.reload.Plan;
+import lupinwood.settings.Entry;
+import lupinwood.settings.Schema;
 import org.junit.jupiter.api.Test;
 
 /** What is written down agrees with the program. */
@@ -28,4 +35,25 @@
         }
         assertThat(Reader.readPart(new FileSources(), "deploy/operator.kdl").problems().all()).isEmpty();
     }
+
+    @Test
+    void thePageOfSettingsAndWireHasEachEntryOfThePlatformAndNamesTestsThatThereAre() throws Exception {
+        String page = Files.readString(Path.of("docs/design/settings-and-wire.md"));
+        for (Entry entry : Schema.all()) {
+            String own = entry.key().replaceFirst("\\.#$", "").replaceFirst(".*\\.", "");
+            assertThat(entry.key().startsWith("operator.") || Pattern.compile("`([a-z.]*|services\\[\\]\\.|customers\\[\\]\\.)" + own + "`")
+                    .matcher(page).find()).as(entry.key()).isTrue();
+        }
+        Matcher named = Pattern.compile("`([A-Z]\\w*Test)(\\.(\\w+))?`").matcher(page);
+        Map<String, String> tests = new HashMap<>();
+        try (Stream<Path> files = Files.walk(Path.of("src/test/java"))) {
+            for (Path file : files.filter(Files::isRegularFile).toList()) {
+                tests.put(file.getFileName().toString().replace(".java", ""), Files.readString(file));
+            }
+        }
+        while (named.find()) {
+            assertThat(tests).containsKey(named.group(1));
+            assertThat(tests.get(named.group(1))).as(named.group()).contains(named.group(3) == null ? "" : "void " + named.group(3) + "(");
+        }
+    }
 }
