Let the last answers of a node that leaves wait for no gauges

At fault: WakeUps.due waits up to 20 ms for gauges, and the answers lie 38 ms before the end of their time there; a stall of 18 ms lets what is due after them go first. No answer was lost by it.

Change: once the node leaves, wake-ups are told at once and gauges read beside them, so the order of what is due holds whatever the stall.

--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -774,6 +774,7 @@
     public void leave(Span until) {
         if (!leaving) {
             leaving = true;
+            wakeUps.leave();
             lastTicket = now;
             if (node != null) {
                 node.leave(until);
--- a/src/main/java/lupinwood/core/WakeUps.java
+++ b/src/main/java/lupinwood/core/WakeUps.java
@@ -22,6 +22,7 @@
     private final Consumer<Gauges> wake;
     /** The tag under which gauges were asked for a wake-up, or 0. */
     private long asked;
+    private boolean leaving;
     private Deadlines.Deadline next;
     private Deadlines.Deadline anyway;
     private Gauges gauges = Gauges.UNKNOWN;
@@ -43,9 +44,20 @@
         next = deadlines.at(moment, this::due);
     }
 
+    /**
+     * From now on wake-ups wait for no gauges, which are read beside them. Guards against the last answers of a node that
+     * leaves: what comes after them by its own deadline, as the wish to send no more, must not overtake them in a stall.
+     */
+    void leave() {
+        leaving = true;
+    }
+
     private void due() {
         // Where the settings name no gauges there are none to wait for, and an answer that is due must not wait.
-        if (names.isEmpty() || clock.get().since(readAt).compareTo(FRESH) < 0) {
+        if (leaving && !names.isEmpty()) {
+            executor.askGauges(tags.next());
+        }
+        if (names.isEmpty() || leaving || clock.get().since(readAt).compareTo(FRESH) < 0) {
             wake.accept(gauges);
         } else if (asked == 0) {
             asked = tags.next();
--- a/src/test/java/lupinwood/core/HostTest.java
+++ b/src/test/java/lupinwood/core/HostTest.java
@@ -20,6 +20,7 @@
     private Moment now = new Moment(1_000_000_000_000L);
     private boolean linked = true;
     private boolean takesAnswers = true;
+    private boolean gaugesCome = true;
     private int onCores = 9;
     private Host host;
     private ConnectionId line;
@@ -160,6 +161,9 @@
 
     @Override
     public void askGauges(long asked) {
+        if (!gaugesCome) {
+            return;
+        }
         host.gaugesRead(asked, new double[] {0.5, onCores, 0.1, 1});
     }
 
@@ -923,6 +927,25 @@
                 """);
     }
 
+    @Test
+    void theLastAnswersOfANodeThatLeavesWaitForNoGaugesAndGoOutBeforeWhatIsDueAfterThem() {
+        start();
+        arrive("pure", null, "a");
+        gaugesCome = false;
+        tell(() -> host.leave(Span.ofSeconds(1)));
+        deadlines.at(now.plus(Span.ofSeconds(0.96)), () -> host.closeConnections());
+        now = now.plus(Span.ofSeconds(1)); // a stall, past both
+        tell(() -> {
+            host.advance(now);
+            deadlines.ring(now);
+        });
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                1000 1 ABANDONED
+                1000 no more
+                """);
+    }
+
     @Test
     void aNodeThatLeavesBeforeItsExecutorIsUpBeginsNothing() {
         make(8192);
