Serve where little is left to run, call or remember by, and read any figure's signs

Change: one ticket may always run; the beat comes no more often than a hundredth of the mean agreed time; the entry counts for what is remembered; half of the small share is left to a call, which the pause after it keeps in the mean, and none is cut by a time that isn't told; bytes; 40 signs for figures with a point.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -224,7 +224,7 @@
             }
         } else if (leavingFor(held)) {
             held.bounce("leaving", settings.span("bounds.max_retry_after_ns"));
-        } else if (usedKb + entryKb > memory) {
+        } else if (usedKb + (held.track.says.effect() == Effect.RECEIPTED ? entryKb : 0) > memory) {
             // Rule 4: a receipted ticket that could not be remembered is turned away like any other.
             held.bounce("memory full", Span.ofSeconds(meanCost()));
         } else if (held.track.says.calls() && count >= Math.floor(limit) && !makeRoom(held)) {
@@ -357,8 +357,10 @@
             if (track.says.skipWorth() > 0) {
                 cap = left.minus(Span.ofSeconds(Math.max(0, cost() - got))).max(left.times(0.5)).max(step);
             }
+            // Of a share that lingering alone uses up half is left, or no call would ever come back; the pause keeps it.
             Span share = settings.span("domain.calls_over_ns").times(toldShare / 2);
-            return toldShare < 1 ? cap.min(share.minus(settings.span("domain.linger_ns")).max(step)) : cap;
+            Span own = share.minus(settings.span("domain.linger_ns")).max(share.times(0.5)).max(step);
+            return toldShare < 1 && share.isPositive() ? cap.min(own) : cap;
         }
 
         void remember() {
@@ -713,7 +715,7 @@
 
     /** Rule 4: the crowd on the cores that this machine survives just now, with a margin. */
     private double crowdCeiling() {
-        return cores * (1 + (settings.number("rules.fall_multiple", 3) - 1) * speedNow()) * SAFE;
+        return Math.max(1, cores * (1 + (settings.number("rules.fall_multiple", 3) - 1) * speedNow()) * SAFE);
     }
 
     /** The share of its speed that a machine has for certain: it starts cold and rises evenly. */
@@ -812,7 +814,7 @@
     /** Now and then, at a twentieth of the time over which a crowd is averaged: the advice is set anew. */
     private void beat() {
         advise();
-        Span pause = settings.span("rules.fall_ns").times(0.05).max(step);
+        Span pause = settings.span("rules.fall_ns").times(0.05).max(step).max(Span.ofSeconds(meanAgreed / 100));
         // The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold.
         double work = hold.stream().filter(held -> !held.overShare).mapToDouble(Held::cost).sum();
         double standing = work / cores / meanAgreed + unread;
--- a/src/main/java/lupinwood/net/DispatcherListener.java
+++ b/src/main/java/lupinwood/net/DispatcherListener.java
@@ -24,6 +24,8 @@
 /** The dispatchers' side: RESP arrays in, answers out. */
 final class DispatcherListener extends Front<List<byte[]>> {
     private static final int MOST_DIGITS = 18;
+    /** As many signs as any figure written to its last place may take. */
+    private static final int MOST_SIGNS = 40;
     private static final byte[] NOTHING = {};
     /** No caller waits and no work takes longer than the longest abandon time that a configuration may name. */
     private static final Span LONGEST_TOLD = Span.ofSeconds(86_400);
@@ -197,7 +199,7 @@
         for (int i = 0; text != null && i < text.length(); i++) {
             points += text.charAt(i) == '.' ? 1 : text.charAt(i) >= '0' && text.charAt(i) <= '9' ? 0 : 2;
         }
-        if (text == null || text.length() > MOST_DIGITS || points > (mayHavePoint ? 1 : 0)) {
+        if (text == null || text.length() > (mayHavePoint ? MOST_SIGNS : MOST_DIGITS) || points > (mayHavePoint ? 1 : 0)) {
             throw new NumberFormatException("no figure");
         }
         return text;
--- a/src/main/java/lupinwood/net/WarmUp.java
+++ b/src/main/java/lupinwood/net/WarmUp.java
@@ -97,7 +97,7 @@
                     receipted.get(track) ? ",opkey=" + Integer.toHexString(tag / 2) : "");
             String text = "*5\r\n";
             for (String item : List.of("REQ", "" + tag, tracks.get(track), fields, "warm")) {
-                text += "$" + item.length() + "\r\n" + item + "\r\n";
+                text += "$" + item.getBytes(StandardCharsets.UTF_8).length + "\r\n" + item + "\r\n";
             }
             List<byte[]> items = arrays.next(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
             host.arrived(connection, tag, DispatcherListener.arrival(items));
--- a/src/test/java/lupinwood/Machine.java
+++ b/src/test/java/lupinwood/Machine.java
@@ -21,6 +21,7 @@
     private long nextId = 1;
     Gauges gauges = Gauges.UNKNOWN;
     Span patience = Span.ZERO;
+    Span lastCap;
     Brain brain;
 
     /** Two cores, four tracks (pure, receipted and effectful that call, and one that never does). */
@@ -138,6 +139,7 @@
 
     @Override
     public void call(TicketId ticket, Span cap) {
+        lastCap = cap;
         say("call " + ticket.number());
     }
 
--- a/src/test/java/lupinwood/net/AnyOperatorTest.java
+++ b/src/test/java/lupinwood/net/AnyOperatorTest.java
@@ -19,7 +19,7 @@
         untilLogged("warmed up by ");
         assertThat(logged.toString()).doesNotContain("warmed up by 0 ");
         End caller = dispatcher();
-        caller.say(request(101, "") + request(102, ",owner=anyone"));
+        caller.say(request(101, ",level=0.30000000000000004,need=20.499999999999999991") + request(102, ",owner=anyone"));
         expectRun(101, "look", "b");
         expectRun(102, "look", "b");
         exit(1, 101, "one");
@@ -28,6 +28,14 @@
         assertThat(caller.answer()).isEqualTo("102 ACK + two");
     }
 
+    @Test
+    void aNameOfAnySignsWarmsUpToo() throws Exception {
+        settings = SETTINGS.replace("\"look\"", "\"\u0439, \ud83d\ude00\"");
+        start();
+        untilLogged("warmed up by ");
+        assertThat(logged.toString()).doesNotContain("no warm-up", "warmed up by 0 ");
+    }
+
     @Test
     void theAnswerComesWithinTheCallersOwnTime() throws Exception {
         standsStill = true;
