Let a cold node above a tier call as the limit allows, not one call at a time

Cause: callsAllowed began at min(1, toldShare) on any cold node. With a tier below no share is told (1e9), so a node that started cold made one call at a time, until a calm median; a call is calm only while the count is under half the limit, and with calls queued one behind another it never was.

Change: the start of one call at a time holds only where a share of one dependency is told.

The test is red without the change. BrainTest, StrainTest and HostTest pass.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -166,9 +166,9 @@
         memory = SAFE * settings.number("domain.memory_kb", 1e12);
         entryKb = settings.number("domain.entry_kb", 0);
         cores = Math.max(1, settings.number("domain.cpus", 1));
-        toldShare = settings.is("domain.below", "one_for_all")
-                ? Math.max(1e-3, settings.number("domain.calls_out", 1e9)) : 1e9;
-        callsAllowed = settings.is("domain.cold", "true") ? Math.min(1, toldShare) : toldShare;
+        boolean shared = settings.is("domain.below", "one_for_all");
+        toldShare = shared ? Math.max(1e-3, settings.number("domain.calls_out", 1e9)) : 1e9;
+        callsAllowed = shared && settings.is("domain.cold", "true") ? Math.min(1, toldShare) : toldShare;
         canStop = settings.is("domain.stop_mode", "discard") || settings.is("domain.stop_mode", "freeze");
         limit = Math.max(20, cores);
         for (int i = 0; i < settings.number("services.count", 0); i++) {
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -407,6 +407,12 @@
         assertThat(callsOfFour()).as("one that is warm from the start").isEqualTo(4);
     }
 
+    @Test
+    void aColdNodeAboveATierIsToldNoShareSoItsCallsAreBoundByTheLimitAlone() {
+        machine.set("domain.below=tier domain.calls_out=0 domain.cpus=8 domain.cold=true rules.cold_share=0.9").start();
+        assertThat(callsOfFour()).isEqualTo(4);
+    }
+
     private long callsOfFour() {
         machine.trace.clear();
         for (int i = 0; i < 4; i++) {
