Let withdrawn requests that never ran take nothing of their tenant's share

Cause: Held.left ended a held ticket without giving back what Held.chargeCustomer took.

Change: what is withdrawn before its agreed time and never ran gives back its share, as what is turned away does, and isn't counted as asked for. Who leaves later was served badly and still counts.

The test is red without the change.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -350,6 +350,14 @@
             }
         }
 
+        /** What never ran took nothing of it. */
+        void unchargeCustomer() {
+            if (customer != null) {
+                customer.kept = Math.max(0, customer.kept - 1);
+                customer.saved += overShare ? 0 : 1;
+            }
+        }
+
         /** How long a call may take: while it can earn anything, or leaves time to go on without it. */
         Span callCap() {
             Span left = due.since(server.now());
@@ -429,10 +437,7 @@
             Span pause = burst ? Span.ZERO : comeBackAfter.min(settings.span("bounds.max_retry_after_ns"));
             server.bounce(ticket.id(), worthless, pause);
             answered = true;
-            if (customer != null) {
-                customer.kept = Math.max(0, customer.kept - 1);
-                customer.saved += overShare ? 0 : 1;
-            }
+            unchargeCustomer();
             over();
         }
 
@@ -650,6 +655,12 @@
             if (state == State.RUNNING && canStop) {
                 server.stop(ticket.id());
             } else if (!ran) {
+                // Whoever leaves before the agreed time has asked for nothing: a client gone wild may send and
+                // withdraw hundreds, which are neither its customer's share nor a track served badly.
+                if (server.now().isBefore(due)) {
+                    unchargeCustomer();
+                    track.asked = Math.max(0, track.asked - 1);
+                }
                 over();
             }
         }
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -329,6 +329,25 @@
                 """);
     }
 
+    /** Seen on a join day: a client sent 200 copies and withdrew them, and its customer was over its share. */
+    @Test
+    void ticketsWithdrawnBeforeTheyRanTakeNothingOfTheirCustomersShare() {
+        machine.set("customers.count=2 customers.0.quota_rps=1 customers.1.quota_rps=10")
+                .set("over_share_worth=0.05 domain.cpus=1").start();
+        machine.arrive(Machine.PURE, 0, 1, 0);
+        for (int i = 0; i < 30; i++) {
+            machine.tell(machine.arrive(Machine.LOCAL, 0, 1, 0), Handle::left);
+        }
+        for (int i = 0; i < 4; i++) {
+            machine.arrive(Machine.LOCAL, 0, 1, 0);
+        }
+        machine.trace.clear();
+        for (int i = 0; i < 20; i++) {
+            machine.arrive(Machine.LOCAL, 0, 1, 1);
+        }
+        assertThat(machine.printed()).contains("would wait in vain").doesNotContain("ask no other");
+    }
+
     @Test
     void whereTicketsWaitLongOnlyAMachineThatIsNotSlowAsksForNoOther() {
         patient().set("rules.cold_share=0.5 rules.ramp_time_ns=100000000000 rules.fall_multiple=20");
