Make the call that an executor won't leave out, also where its BAD names nothing

Host.notCarriedOut knew the refusal by the word BYPASS alone, so it neither gave up leaving calls out nor told anyone: the run stood at its call until the caller's time was over (ticket 7340032 at n0: asked at 2.0 s, abandoned at 7.6 s, its place in the count taken all along).

Change: a BAD that names neither command nor ticket goes to each call to be left out that is still in doubt. Such a call is made after all where its track is pure, else its ticket fails; the decisions are told once that nothing is paid for leaving out. The body of the call is kept until BYPASS is known to have been read.

HostTest expected the refused ticket to fail at once; it holds now that its call is made, and that it fails when that ends badly too. A test for the refusal without names beside it; both fail without the change.

--- a/src/main/java/lupinwood/core/Host.java
+++ b/src/main/java/lupinwood/core/Host.java
@@ -43,6 +43,8 @@
     /** On sockets the window of a receipted ticket is longer by this; a repeat so late is not run. */
     private static final Span WINDOW_SLACK = Span.ofSeconds(0.05);
     private static final Span ASK_AGAIN = Span.ofSeconds(0.004);
+    /** What stands for a command that was not carried out, seen in answer to calls to be left out. */
+    private static final String UNNAMED = "-";
 
     private Map<String, String> settings;
     private final long seed;
@@ -514,17 +516,27 @@
                 }
             }
             case "KILL" -> stops = false; // the run goes on to its end, as it would have
-            case "BYPASS" -> {
-                skips = false;
-                node.retune(told(settings));
-                if (taken != null && taken.unreadReply == Taken.NO_CALL) {
-                    lost(id, Ending.FAILED);
-                }
-            }
+            // Where the answer names neither, it can be only to those whose call was to be left out.
+            case "BYPASS", UNNAMED -> started.stream().filter(one -> one.unreadReply == Taken.NO_CALL
+                    && (one == taken || command.equals(UNNAMED))).toList().forEach(this::mustCall);
             default -> { }
         }
     }
 
+    /** No call can be left out here: its run still waits for one, which is made now where that does no harm. */
+    private void mustCall(Taken taken) {
+        if (skips) {
+            skips = false;
+            node.retune(told(settings));
+        }
+        taken.unreadReply = null;
+        if (track(taken).effect() != Effect.PURE) {
+            lost(taken.arrival.tryId(), Ending.FAILED);
+        } else if (!taken.answered) {
+            taken.handle.needsCall();
+        }
+    }
+
     public void gaugesRead(long tag, double[] values) {
         if (replayTag != 0 && tag == replayTag) {
             replayTag = 0;
@@ -532,8 +544,10 @@
         } else if (replayTag == 0) {
             started.forEach(taken -> {
                 taken.startKnown |= taken.sent && !taken.unsure && tag > taken.startedAfter;
-                taken.unreadReply = taken.replySent && !taken.unsure && tag > taken.repliedAfter ? null
-                        : taken.unreadReply;
+                if (taken.replySent && !taken.unsure && tag > taken.repliedAfter) {
+                    taken.callBody = taken.unreadReply == Taken.NO_CALL ? null : taken.callBody;
+                    taken.unreadReply = null;
+                }
             });
         }
         if (replayTag == 0) {
@@ -665,7 +679,6 @@
             return;
         }
         if (skips && !taken.elsewhere) {
-            taken.callBody = null;
             taken.unreadReply = Taken.NO_CALL;
             giveReply(taken);
         } else {
--- a/src/test/java/lupinwood/core/HostTest.java
+++ b/src/test/java/lupinwood/core/HostTest.java
@@ -769,7 +769,9 @@
         callOut(two);
         tell(() -> host.callEnded(id(two), Ending.SLOW_BELOW, null));
         tell(() -> host.notCarriedOut("BYPASS", id(two)));
-        pass(300); // for as long a call given up may stay in the dependency's hands
+        pass(300);
+        tell(() -> host.callEnded(id(two), Ending.SLOW_BELOW, null));
+        pass(300); // for as long as a call given up may stay in the dependency's hands
         long three = arrive("pure", null, "c");
         callOut(three);
         tell(() -> host.callEnded(id(three), Ending.SLOW_BELOW, null));
@@ -782,10 +784,42 @@
                 0 call for 2 q
                 0 no call for 2
                 0 log the executor did not carry out BYPASS 0000000000000002
+                200 call for 2 q
+                300 2 ABANDONED
+                600 run 3 c
+                600 call for 3 q
+                600 3 ABANDONED
+                """);
+    }
+
+    /** Seen on prairie-scans and sicilia-est: "BAD - -" to each call to be left out; its run stood there for good. */
+    @Test
+    void aCallThatCannotBeLeftOutIsMadeThoughTheRefusalNamesNeitherCommandNorTicket() {
+        machine.set("domain.class_skip_worth=0.5,0.5,0.5,0 domain.calls_out=8");
+        start();
+        long one = arrive("pure", null, "a");
+        callOut(one);
+        tell(() -> host.callEnded(id(one), Ending.SLOW_BELOW, null));
+        long two = arrive("side_effect", null, "b");
+        callOut(two);
+        tell(() -> host.callEnded(id(two), Ending.SLOW_BELOW, null));
+        tell(() -> host.notCarriedOut("-", new TryId("-")));
+        tell(() -> host.callEnded(id(one), Ending.WELL, "r".getBytes(StandardCharsets.UTF_8)));
+        tell(() -> host.notCarriedOut("-", new TryId("-")));
+        exit(one, Ending.WELL, "whole");
+        assertThat(printed()).isEqualTo("""
+                0 run 1 a
+                0 call for 1 q
+                0 no call for 1
+                0 run 2 b
+                0 call for 2 q
+                0 no call for 2
+                0 log the executor did not carry out - -
                 0 2 ABANDONED
-                300 run 3 c
-                300 call for 3 q
-                300 3 ABANDONED
+                0 call for 1 q
+                0 reply for 1 r
+                0 log the executor did not carry out - -
+                0 1 SATISFIED whole
                 """);
     }
 
