--- a/src/main/java/lupinwood/cli/Main.java
+++ b/src/main/java/lupinwood/cli/Main.java
@@ -7,6 +7,7 @@
 /** Entry point of the jar. */
 public final class Main {
     private static final String NAME = "lupinwood";
+    private static final String SERVE = "serve";
     private static final int USAGE = 2;
 
     private Main() {}
@@ -16,8 +17,9 @@
     }
 
     private static int run(String[] args) {
-        Map<String, Command> commands =
-                Map.of("serve", new Serve(), "version", new Version(), "drill", new DrillCommand(),
+        // A node that starts needs no other command, and the parser would take its time to look each through.
+        Map<String, Command> commands = args.length > 0 && args[0].equals(SERVE) ? Map.of(SERVE, new Serve())
+                : Map.of(SERVE, new Serve(), "version", new Version(), "drill", new DrillCommand(),
                         "config", new ConfigCommand(), "lab", new LabCommand(), "fleet", new FleetCommand(), "lab-node", new LabNode());
         JCommander parser = JCommander.newBuilder().programName(NAME).build();
         Help help = new Help();
