Ask resting connections to close before the table is full, and close those first

Cause: a full table closed silent connections first however young they were, so that in a burst those that had just come closed each other while others rested on; and it closed at once, so a ticket just written was left without an answer. Change: past seven eighths those that rested for longest hear 0 FIN. What makes room goes in this order: ended, silent for a quarter second, asked to close, resting for as long, who came just now, resting, owed its last answers. It is taken from the table, and for 50 ms what crosses that is turned away by an answer; who was silent for half a second or was asked two seconds ago is closed at once. Kept in order, so that nothing is sorted or searched with a full table.

--- a/src/main/java/lupinwood/core/Connections.java
+++ b/src/main/java/lupinwood/core/Connections.java
@@ -1,11 +1,14 @@
 package lupinwood.core;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import lupinwood.node.Moment;
 import lupinwood.node.Span;
 import lupinwood.node.TicketId;
@@ -37,12 +40,28 @@
     /** A ticket may cross the wish to close for as long, by a pause of either machine. */
     private static final Span CROSSING = Span.ofSeconds(2);
 
+    /** What stands without an open ticket; each kind is kept in the order in which it came to be so. */
+    private enum Rest {
+        /** Its last answers and the end behind them have gone out. */
+        ENDED,
+        /** It never spoke. */
+        SILENT,
+        ASKED_TO_CLOSE,
+        RESTING,
+        /** Its last answers are on their way. */
+        OWED
+    }
+
     private static final class Connection {
         ConnectionId id;
         final Map<Long, TicketId> open = new HashMap<>();
         Deadlines.Deadline idle;
         Moment idleSince;
+        /** Null while a ticket is open on it. */
+        Rest rest;
         boolean spoke;
+        /** So many times it was seen to have said nothing. */
+        int silences;
         boolean standing;
         int strikes;
         int unwanted;
@@ -50,10 +69,19 @@
         /** When it was asked to close, or null. */
         Moment finishedAt;
         boolean closing;
+        boolean written;
         Ending why;
+
+        Rest restsAs() {
+            return !open.isEmpty() ? null : closing ? written ? Rest.ENDED : Rest.OWED
+                    : !spoke ? Rest.SILENT : finishedAt != null ? Rest.ASKED_TO_CLOSE : Rest.RESTING;
+        }
     }
 
     private final Slots<Connection> table;
+    private final Map<Rest, Set<Connection>> resting = new EnumMap<>(Rest.class);
+    /** Past so many that spoke and were not asked to close, those that rest are asked to. */
+    private final int many;
     private final Dispatchers dispatchers;
     private final Deadlines deadlines;
     private final Supplier<Moment> clock;
@@ -67,6 +95,10 @@
         this.longestIdle = longestIdle;
         this.timeToRead = timeToRead;
         table = new Slots<>(most);
+        many = most - most / 8;
+        for (Rest rest : Rest.values()) {
+            resting.put(rest, new LinkedHashSet<>());
+        }
         this.dispatchers = dispatchers;
         this.deadlines = deadlines;
         this.clock = clock;
@@ -89,27 +121,64 @@
         connection.id = new ConnectionId(table.put(connection));
         connection.openedAt = clock.get();
         rest(connection);
+        askInTime();
         return connection.id;
     }
 
     /**
-     * Guards against the silent and the forgotten: a full table must not shut out who has something to say.
+     * Guards against the silent and the forgotten: a full table must not shut out who has something to say. Who came
+     * just now goes after those that have rested for as long as it takes to speak, and before those in use.
      */
     private boolean makeRoom() {
-        List<Connection> unused = new ArrayList<>();
-        table.forEach(connection -> {
-            if (connection.open.isEmpty()) {
-                unused.add(connection);
-            }
-        });
-        unused.sort(Comparator.<Connection, Boolean>comparing(c -> c.spoke && !c.closing)
-                .thenComparing(c -> c.idleSince));
-        // A few at once, as more will come.
-        for (Connection connection : unused.subList(0, Math.min(unused.size(), 1 + table.size() / 32))) {
+        List<Connection> going = first(Stream.of(
+                of(Rest.ENDED), of(Rest.SILENT).takeWhile(c -> c.silences > 0), of(Rest.ASKED_TO_CLOSE),
+                of(Rest.RESTING).takeWhile(c -> c.idleSince.plus(SILENCE).isBefore(clock.get())),
+                of(Rest.SILENT), of(Rest.RESTING), of(Rest.OWED)));
+        for (Connection connection : going) {
             remove(connection.id);
-            dispatchers.close(connection.id, Ending.MADE_ROOM);
+            boolean unused = isLeftUnused(connection);
+            if (connection.rest == Rest.RESTING) {
+                dispatchers.sayNoMore(connection.id);
+            }
+            dispatchers.close(connection.id, unused ? Ending.LEFT_UNUSED : Ending.MADE_ROOM);
+        }
+        return !going.isEmpty();
+    }
+
+    /** A pause of this machine, after which something has still to be read, is over by the second silence. */
+    private boolean isLeftUnused(Connection connection) {
+        return connection.rest == Rest.ENDED || connection.silences > 1
+                || connection.rest == Rest.ASKED_TO_CLOSE && isStubborn(connection);
+    }
+
+    private Stream<Connection> of(Rest rest) {
+        return resting.get(rest).stream();
+    }
+
+    /** A few at once, as more will come. */
+    private List<Connection> first(Stream<Stream<Connection>> inOrder) {
+        return inOrder.flatMap(one -> one).distinct().limit(1 + table.size() / 32).toList();
+    }
+
+    /**
+     * Guards against a table that fills with those that rest: asked in time they close by themselves, and no ticket
+     * crosses a close from here.
+     */
+    private void askInTime() {
+        if (table.size() - resting.get(Rest.SILENT).size() - resting.get(Rest.ASKED_TO_CLOSE).size() > many) {
+            first(Stream.of(of(Rest.RESTING))).forEach(this::finish);
+        }
+    }
+
+    /** It may stand elsewhere in the order now, and there behind all others. */
+    private void sort(Connection connection) {
+        if (connection.rest != null) {
+            resting.get(connection.rest).remove(connection);
+        }
+        connection.rest = connection.restsAs();
+        if (connection.rest != null) {
+            resting.get(connection.rest).add(connection);
         }
-        return !unused.isEmpty();
     }
 
     /** A check came on it. */
@@ -135,6 +204,9 @@
             return List.of();
         }
         deadlines.callOff(connection.idle);
+        if (connection.rest != null) {
+            resting.get(connection.rest).remove(connection);
+        }
         open -= connection.open.size();
         return new ArrayList<>(connection.open.values());
     }
@@ -151,7 +223,11 @@
 
     /** It was asked to close long ago, and still sends. */
     boolean isStubborn(ConnectionId id) {
-        Moment asked = table.get(id.number()).finishedAt;
+        return isStubborn(table.get(id.number()));
+    }
+
+    private boolean isStubborn(Connection connection) {
+        Moment asked = connection.finishedAt;
         return asked != null && asked.plus(CROSSING).isBefore(clock.get());
     }
 
@@ -165,6 +241,7 @@
         connection.spoke = true;
         connection.open.put(tag, ticket);
         open++;
+        sort(connection);
         deadlines.callOff(connection.idle);
         connection.idle = null;
     }
@@ -244,6 +321,7 @@
 
     /** Its last answers go out first; nobody waits for them longer than the longest abandon time. */
     private void close(Connection connection) {
+        sort(connection);
         cutOffIn(connection, timeToRead);
         dispatchers.close(connection.id, connection.why);
     }
@@ -252,6 +330,8 @@
     void written(ConnectionId id) {
         Connection connection = table.get(id.number());
         if (connection != null && connection.closing) {
+            connection.written = true;
+            sort(connection);
             cutOffIn(connection, TIME_TO_END);
         }
     }
@@ -280,6 +360,7 @@
     /** It carries nothing from now on. */
     private void rest(Connection connection) {
         connection.idleSince = clock.get();
+        sort(connection);
         watch(connection);
     }
 
@@ -287,7 +368,7 @@
         if (connection.open.isEmpty() && !connection.closing) {
             if (!connection.spoke) {
                 if (connection.idle == null) {
-                    awaitWord(connection, MOST_SILENCES);
+                    awaitWord(connection);
                 }
                 return;
             }
@@ -300,10 +381,10 @@
         }
     }
 
-    private void awaitWord(Connection connection, int left) {
+    private void awaitWord(Connection connection) {
         connection.idle = deadlines.at(clock.get().plus(SILENCE), () -> {
-            if (left > 1) {
-                awaitWord(connection, left - 1);
+            if (++connection.silences < MOST_SILENCES) {
+                awaitWord(connection);
             } else {
                 end(connection, Ending.SAID_NOTHING);
             }
--- a/src/main/java/lupinwood/core/Ending.java
+++ b/src/main/java/lupinwood/core/Ending.java
@@ -49,6 +49,8 @@
     UNSOUND(Outcome.BROKEN),
     /** Others needed its place. */
     MADE_ROOM(Outcome.BROKEN),
+    /** Others needed its place, and for so long nobody used it that nothing can cross the close. */
+    LEFT_UNUSED(Outcome.BROKEN),
     /** This node closed the connection. */
     CLOSED_HERE(Outcome.BROKEN);
 
--- a/src/main/java/lupinwood/net/Front.java
+++ b/src/main/java/lupinwood/net/Front.java
@@ -32,6 +32,8 @@
      */
     private static final Span SILENCE = Span.ofSeconds(0.25);
     private static final int MOST_SILENCES = 6;
+    /** A ticket may cross the wish to close for so long; one that crosses a close for less is sent again. */
+    private static final Span CROSSING = Span.ofSeconds(0.05);
 
     private final Decider decider;
     private final Deadlines deadlines;
@@ -89,11 +91,13 @@
             if (why != Ending.CLOSED_BY_PEER && why != Ending.MALFORMED) {
                 log.line("closing a dispatcher's connection: " + why);
             }
-            if (why == Ending.SLOW_READER || why == Ending.MADE_ROOM) {
-                caller.outbox.closeNow();
-            } else {
-                caller.ends = true;
-                flushSoon(caller);
+            switch (why) {
+                case SLOW_READER, LEFT_UNUSED -> caller.outbox.closeNow();
+                case MADE_ROOM -> caller.closeSoon();
+                default -> {
+                    caller.ends = true;
+                    flushSoon(caller);
+                }
             }
         }
     }
@@ -177,6 +181,20 @@
             }));
         }
 
+        /** It was asked to close, and the host turns away what crosses that; if nothing does it goes. */
+        private void closeSoon() {
+            long before = messages;
+            deadlines.at(host.now().plus(CROSSING), () -> {
+                if (messages == before) {
+                    outbox.closeNow();
+                } else {
+                    ends = true;
+                    flushSoon(this);
+                    deadlines.at(host.now().plus(CROSSING), outbox::closeNow);
+                }
+            });
+        }
+
         @Override
         public void opened(IoSession session) {
             decider.tell(() -> {
--- a/src/test/java/lupinwood/net/SocketTest.java
+++ b/src/test/java/lupinwood/net/SocketTest.java
@@ -97,6 +97,18 @@
             return String.join(" ", words).replaceAll("signal=[0-9.]+", "+");
         }
 
+        /** Whether the other side ended it, and said nothing before but the wish that this one does. */
+        boolean isOverOnceAsked() {
+            try {
+                String last = answer();
+                return last == null || last.equals("0 FIN") && isOver();
+            } catch (SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true;
+            }
+        }
+
         /** Whether the other side ended it. */
         boolean isOver() {
             try {
