Keep descriptors in hand for the executor, the index, the name service and one more

Seen: a node process under ulimit -n 256, held by SIGSTOP while 150 clients rest and 460 more connect: as it goes on the accepting thread takes more than the table has places for, sooner than the deciding thread can close any: 256 of 256 open, 'Too many open files' seven times, each with a rest of 50 ms at the door, and in one of three runs the call below was lost. 24 descriptors were reckoned for the process; it had 38 from a class path of many jars. Change: what is open is counted as the node starts, and the system's limit is read beside the configured one. Of the rest calls get what the settings let be out, at least 32, up to half of what dispatchers' half leaves; one in eight of the accepted may be about to close. An accepted connection counts from before it is accepted until the selector has let go of its channel; past that the door waits, and newcomers in the system's queue. A call that was given up while it connects no longer holds a descriptor until that times out, and connections to the index count until they have ended. CrossingsTest.theDescriptorsOfAnyPlatform now asks for the sum to be exact, from 56 descriptors on, since the way in takes one more; the thread that reads is called Processor.

--- a/src/main/java/lupinwood/net/Acceptor.java
+++ b/src/main/java/lupinwood/net/Acceptor.java
@@ -9,14 +9,20 @@
 /**
  * A listening socket that leaves nobody behind when it closes. The system completes connections before the
  * program accepts them; closing the socket resets those that still wait, with the tickets already written to them.
+ * It takes no more of them than there are descriptors for.
  */
 class Acceptor extends NioSocketAcceptor {
+    /** Without a place for so long, it looks whether it was told to close meanwhile. */
+    private static final long WAIT_MS = 50;
+
     private final IoProcessor<NioSession> processor;
+    private final AcceptLimit limit;
     private final AtomicLong accepted = new AtomicLong();
 
-    Acceptor(IoProcessor<NioSession> processor) {
+    Acceptor(IoProcessor<NioSession> processor, AcceptLimit limit) {
         super(processor);
         this.processor = processor;
+        this.limit = limit;
     }
 
     long accepted() {
@@ -25,7 +31,17 @@
 
     @Override
     protected NioSession accept(IoProcessor<NioSession> by, ServerSocketChannel from) throws Exception {
-        NioSession session = super.accept(by, from);
+        if (!limit.enter(WAIT_MS)) {
+            return null; // it still waits in the system's queue, and is found there again
+        }
+        NioSession session = null;
+        try {
+            session = super.accept(by, from);
+        } finally {
+            if (session == null) {
+                limit.leave(1);
+            }
+        }
         if (session != null) {
             accepted.incrementAndGet();
         }
--- a/src/main/java/lupinwood/net/IndexLink.java
+++ b/src/main/java/lupinwood/net/IndexLink.java
@@ -38,6 +38,8 @@
     /** Null where there is nothing below to call. */
     private InetSocketAddress address;
     private final Map<TryId, Line> lines = new HashMap<>();
+    /** All that may hold a descriptor: those that connect, stand, or were closed and have not ended yet. */
+    private int open;
     /** Those without a call, the one used last first. */
     private final Deque<Line> idle = new ArrayDeque<>();
     private final Deque<Call> waiting = new ArrayDeque<>();
@@ -69,14 +71,18 @@
             means.decider().tell(() -> host.callEnded(id, Ending.NEVER_CONNECTED, null));
             return;
         }
-        if (lines.size() >= most) {
+        // A reply names only the try: a late copy of an earlier one must not pass for this call's.
+        Line line = idle.stream().filter(free -> !free.carried.contains(id)).findFirst().orElse(null);
+        if (line == null && open >= most) {
             waiting.add(new Call(id, cap, body));
+            if (!idle.isEmpty()) {
+                idle.getLast().close(); // none of the idle ones can carry it; it gets the place of one
+            }
             return;
         }
-        // A reply names only the try: a late copy of an earlier one must not pass for this call's.
-        Line line = idle.stream().filter(free -> !free.carried.contains(id)).findFirst().orElse(null);
         if (line == null) {
             line = new Line();
+            open++;
             line.connect(means.sockets(), address);
         }
         lines.put(id, line);
@@ -92,13 +98,12 @@
             // Closing gives the call up, and a connection that left a call without a reply is of no more use.
             line.call = null;
             line.close();
-            next();
         }
     }
 
     /** A connection is free for a call that waits. */
     private void next() {
-        if (!waiting.isEmpty() && lines.size() < most) {
+        if (!waiting.isEmpty() && (open < most || !idle.isEmpty())) {
             Call call = waiting.poll();
             call(call.id(), call.cap(), call.body());
         }
@@ -120,6 +125,7 @@
         private Span idleFor;
         /** It takes no new call. */
         private boolean closing;
+        private boolean over;
 
         Line() {
             super(means.decider(), new LineParser(words -> words.length == 3 && words[1].equals("HIT")));
@@ -147,10 +153,8 @@
             closing = true;
             idle.remove(this);
             means.deadlines().callOff(tooOld);
-            if (outbox() != null) {
-                toFlush.remove(this);
-                outbox().closeNow();
-            }
+            toFlush.remove(this);
+            hangUp();
         }
 
         @Override
@@ -201,15 +205,23 @@
 
         @Override
         void ended(Ending ending) {
+            if (over) {
+                return; // called off in the moment in which it came about
+            }
+            over = true;
             TryId id = call == null ? null : call.id();
-            close();
+            closing = true;
+            idle.remove(this);
+            means.deadlines().callOff(tooOld);
+            toFlush.remove(this);
+            open--;
             if (id != null) {
                 release();
                 means.log().line("a connection to the index ended with a call out: " + ending
                         + (idleFor == null ? ", fresh" : ", idle before for ms: " + idleFor.nanos() / 1_000_000));
                 host.callEnded(id, ending, null);
-                IndexLink.this.next();
             }
+            IndexLink.this.next();
         }
     }
 
--- a/src/main/java/lupinwood/net/NamingReporter.java
+++ b/src/main/java/lupinwood/net/NamingReporter.java
@@ -22,7 +22,7 @@
     /**
      * As many as can be out within the patience: a service that answers none must not silence the reports.
      */
-    private static final int MOST_AT_ONCE = 4;
+    static final int MOST_AT_ONCE = 4;
     private static final int NO_CONTENT = 204;
 
     private InetSocketAddress address;
@@ -174,9 +174,7 @@
 
         private void giveUp() {
             ended(Ending.GIVEN_UP);
-            if (outbox() != null) {
-                outbox().closeNow();
-            }
+            hangUp();
         }
 
         @Override
--- a/src/main/java/lupinwood/net/Outbound.java
+++ b/src/main/java/lupinwood/net/Outbound.java
@@ -13,6 +13,7 @@
     private final Parser<T> parser;
     /** Null until it stands. */
     private Outbox outbox;
+    private Runnable calledOff = () -> { };
 
     Outbound(Decider decider, Parser<T> parser) {
         this.decider = decider;
@@ -29,7 +30,16 @@
     abstract void ended(Ending ending);
 
     final void connect(Sockets sockets, InetSocketAddress address) {
-        sockets.connect(address, this, ending -> decider.tell(() -> ended(ending)));
+        calledOff = sockets.connect(address, this, ending -> decider.tell(() -> ended(ending)));
+    }
+
+    /** Ends it now. One that does not stand yet is called off, and holds no descriptor until the other side answers. */
+    final void hangUp() {
+        if (outbox == null) {
+            calledOff.run();
+        } else {
+            outbox.closeNow();
+        }
     }
 
     final Outbox outbox() {
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -15,6 +15,7 @@
 import lupinwood.council.Hands;
 import lupinwood.log.Log;
 import lupinwood.node.Moment;
+import lupinwood.node.Settings;
 import lupinwood.node.Span;
 import lupinwood.reload.Plan;
 import lupinwood.settings.Change;
@@ -26,18 +27,50 @@
     private static final int RECEIPTS = 16384;
     private static final long RECEIPT_BYTES = 8 * 1024 * 1024;
     /**
-     * What the descriptors are for: dispatchers' connections, which take half of them in any case, calls, and what
-     * the process itself and its other links need.
+     * What the descriptors are for. What the process itself and its links need comes first, so that no crowd can take
+     * it; dispatchers may have half of all in any case; of the rest calls get what they need, half at the most.
+     *
+     * @param dispatchers how many of their connections have a place at once
+     * @param closing how many more may be open that come in, or make room and are closed
+     * @param calls connections to the index
      */
-    record Descriptors(int dispatchers, int calls) {
-        private static final int OWN = 24;
-        private static final int MOST_CALLS = 32;
+    record Descriptors(int dispatchers, int closing, int calls) {
+        /** Opened while the node runs: a file read again, a name looked up, and one more of each kind. */
+        private static final int LATER = 4;
+        /** The link to the executor, and the next one. */
+        private static final int EXECUTOR = 2;
+        /** One in so many may be about to close: a node lets in some hundred a second though none closes by itself. */
+        private static final int CLOSING = 8;
         private static final int LEAST_CALLS = 2;
+        private static final int USUAL_CALLS = 32;
 
-        static Descriptors of(int all) {
-            int dispatchers = Math.max(all / 2 + 1, all - 2 * MOST_CALLS);
-            return new Descriptors(dispatchers,
-                    Math.max(LEAST_CALLS, Math.min(MOST_CALLS, all - dispatchers - OWN)));
+        /** @param open what is open with all selectors made and no connection yet */
+        static int own(int open, int doors) {
+            return open + LATER + doors + EXECUTOR + NamingReporter.MOST_AT_ONCE;
+        }
+
+        /** How many calls may be out at once; the settings tell a mean, and 32 were never too many so far. */
+        static int callsOf(NodeConfig config) {
+            if (config.index() == null) {
+                return 0;
+            }
+            Settings settings = new Settings(config.settings());
+            return settings.is("domain.below", "one_for_all")
+                    ? (int) Math.max(USUAL_CALLS, Math.ceil(2 * settings.number("domain.calls_out", Integer.MAX_VALUE)))
+                    : Integer.MAX_VALUE;
+        }
+
+        /**
+         * @param own what the process and its links need
+         * @param needed connections that calls can use at once, 0 where there is nothing below
+         */
+        static Descriptors of(int all, int own, int needed) {
+            int rest = Math.max(LEAST_CALLS + 2, all - own);
+            int half = all / 2 + 1;
+            int calls = Math.min(needed, Math.max(LEAST_CALLS, (rest - half) / 2));
+            int accepted = rest - calls;
+            int closing = Math.max(1, Math.min(accepted / CLOSING, accepted - half));
+            return new Descriptors(accepted - closing, closing, calls);
         }
     }
 
@@ -125,7 +158,12 @@
         fleet = config.meaning().items(Schema.VOTER).isEmpty() ? null
                 : new FleetPart(config.meaning(), servers, deadlines,
                         () -> hands == null ? null : hands.get(), () -> leaveAsked.run(), log);
-        Descriptors descriptors = Descriptors.of(config.sockets());
+        int all = Math.min(config.sockets(), OpenFiles.limit());
+        int own = Descriptors.own(OpenFiles.count(), ajp == null ? 1 : 2);
+        Descriptors descriptors = Descriptors.of(all, own, Descriptors.callsOf(config));
+        sockets.allow(descriptors.dispatchers() + descriptors.closing());
+        log.line("descriptors " + all + ": dispatchers " + descriptors.dispatchers() + " and " + descriptors.closing()
+                + ", calls " + descriptors.calls() + ", own " + own);
         index = new IndexLink(config.index(), descriptors.calls(), means);
         naming = new NamingReporter(config.naming(), config.name(), means);
         host = new Host(config.settings(), config.seed(), maker,
--- a/src/main/java/lupinwood/net/Sockets.java
+++ b/src/main/java/lupinwood/net/Sockets.java
@@ -5,6 +5,8 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import lupinwood.core.Ending;
@@ -13,10 +15,8 @@
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
-import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
-import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
@@ -31,13 +31,18 @@
     private static final String MALFORMED = "malformed";
 
     private final Log log;
-    private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
-    private final Acceptor acceptor = new Acceptor(processor);
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final AcceptLimit limit = new AcceptLimit();
+    private final IoProcessor<NioSession> processor;
+    private final Acceptor acceptor;
     private final List<Acceptor> others = new ArrayList<>();
-    private final NioSocketConnector connector = new NioSocketConnector(processor);
+    private final NioSocketConnector connector;
 
     Sockets(Log log) {
         this.log = log;
+        processor = new Processor(threads, limit);
+        acceptor = new Acceptor(processor, limit);
+        connector = new NioSocketConnector(processor);
         prepare(acceptor);
         configure(connector.getSessionConfig());
         connector.setHandler(new Handler(null));
@@ -58,6 +63,11 @@
         config.setMaxReadBufferSize(MOST_READ_BUFFER);
     }
 
+    /** So many accepted connections may hold descriptors at once, through all doors; none before this is told. */
+    void allow(int accepted) {
+        limit.allow(accepted);
+    }
+
     void listen(InetSocketAddress address, Supplier<Peer> peers) throws IOException {
         acceptor.setHandler(new Handler(peers));
         acceptor.bind(address);
@@ -65,7 +75,7 @@
 
     /** Listens at a second address, for another protocol. */
     void listenAlso(InetSocketAddress address, Supplier<Peer> peers) throws IOException {
-        Acceptor more = new Acceptor(processor);
+        Acceptor more = new Acceptor(processor, limit);
         prepare(more);
         more.setHandler(new Handler(peers));
         others.add(more);
@@ -88,10 +98,11 @@
         acceptor.dispose();
         connector.dispose();
         processor.dispose();
+        threads.shutdown();
     }
 
-    /** Exactly one of the peer's opened and this failure is told. */
-    void connect(InetSocketAddress address, Peer peer, Consumer<Ending> failure) {
+    /** Exactly one of the peer's opened and this failure is told. What is returned calls it off, where that still can be. */
+    Runnable connect(InetSocketAddress address, Peer peer, Consumer<Ending> failure) {
         ConnectFuture future = connector.connect(address,
                 (session, connecting) -> session.setAttribute(PEER, peer));
         future.addListener(done -> {
@@ -100,6 +111,7 @@
                         ? Ending.CONNECTION_REFUSED : Ending.NEVER_CONNECTED);
             }
         });
+        return future::cancel;
     }
 
     private final class Handler extends IoHandlerAdapter {
--- a/src/test/java/lupinwood/net/CrossingsTest.java
+++ b/src/test/java/lupinwood/net/CrossingsTest.java
@@ -129,7 +129,7 @@
         // The thread that reads stands still with this one, and reads nothing of the others.
         blocks.say(array("HEALTH", "77"));
         until(() -> Thread.getAllStackTraces().entrySet().stream().anyMatch(thread ->
-                thread.getKey().getName().startsWith("NioProcessor") && List.of(thread.getValue()).toString()
+                thread.getKey().getName().startsWith("Processor-") && List.of(thread.getValue()).toString()
                         .contains("Decider.tell")));
         silent.say(ticket(101, "look", "said in the pause"));
         half.say(halved.substring(60));
@@ -247,7 +247,9 @@
         CountDownLatch first = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
         IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
-        Acceptor acceptor = new Acceptor(processor) {
+        AcceptLimit limit = new AcceptLimit();
+        limit.allow(4);
+        Acceptor acceptor = new Acceptor(processor, limit) {
             @Override
             protected NioSession accept(IoProcessor<NioSession> by, java.nio.channels.ServerSocketChannel from)
                     throws Exception {
@@ -631,12 +633,17 @@
 
     @Test
     void theDescriptorsOfAnyPlatformAreEnoughForAllThatTakesThem() {
-        for (int all = 54; all < 5000; all++) {
-            Serving.Descriptors parts = Serving.Descriptors.of(all);
-            assertThat(parts.dispatchers()).isGreaterThan(all / 2);
-            assertThat(parts.calls()).isBetween(2, 32);
-            assertThat(parts.dispatchers() + parts.calls() + 24).as("of %d", all).isLessThanOrEqualTo(all);
+        for (int all = 56; all < 5000; all++) {
+            for (int needed : new int[] {0, 1, 32, 1_000_000}) {
+                Serving.Descriptors parts = Serving.Descriptors.of(all, 24, needed);
+                assertThat(parts.dispatchers()).as("of %d", all).isGreaterThan(all / 2);
+                assertThat(parts.closing()).isPositive();
+                assertThat(parts.calls()).isBetween(Math.min(2, needed), needed);
+                assertThat(parts.dispatchers() + parts.closing() + parts.calls() + 24).as("of %d", all).isEqualTo(all);
+            }
         }
+        // More calls where the settings let more be out, and never at the cost of the half that dispatchers may take.
+        assertThat(Serving.Descriptors.of(1024, 24, 300).calls()).isGreaterThan(200);
     }
 
     @Test
