Let a node name a thousand servers in what it tells the fleet

Cause: lists in a beat, and what a leader keeps of trials, were cut at 32; a rest of more servers never became whole, and the planner saw the first 32 places only. Change: 1,024, since each list grows with the settings alone. Result: MessageSizeTest holds a beat of 1,024 of each under nine tenths of a message; at 32 it failed.

--- a/src/main/java/lupinwood/fleet/Beat.java
+++ b/src/main/java/lupinwood/fleet/Beat.java
@@ -17,8 +17,8 @@
 public record Beat(int version, NodeName name, Life life, Site site, Condition condition, long number, List<Grant> holds,
         List<Grant> handsOn, List<Grant> failsAt, List<String> leftOut, List<Finding> found, Report report) {
     public static final int VERSION = 1;
-    /** What one node may name of each; a longer list is cut, which costs only that node. */
-    public static final int MOST = 32;
+    /** What one node may name of each, so many servers at the least; a longer list is cut, which costs only that node. */
+    public static final int MOST = 1024;
 
     /** Without what would be too much, or is missing in an older form. */
     public Beat cut() {
--- a/src/main/java/lupinwood/fleet/Steward.java
+++ b/src/main/java/lupinwood/fleet/Steward.java
@@ -43,7 +43,6 @@
     private record Shunned(int times, Moment until) {}
 
     private static final Comparator<Moment> EARLIER = Comparator.naturalOrder();
-    private static final int MOST_FINDINGS = 32;
     /** In leases: how long a node that came back has to be well, and how long a permit may lie unused. */
     private static final double WELL_FOR = 2;
     private static final double UNUSED_FOR = 20;
@@ -137,7 +136,7 @@
             Moment at = now.minus(finding.age());
             Moment before = foundAt.get(finding.server());
             if (trial.isBy(beat.name(), beat.life()) && trial.token().equals(finding.token())
-                    && (before == null || before.isBefore(at)) && (before != null || foundAt.size() < MOST_FINDINGS)) {
+                    && (before == null || before.isBefore(at)) && (before != null || foundAt.size() < Beat.MOST)) {
                 findings.put(finding.server(), finding);
                 foundAt.put(finding.server(), at);
             }
--- a/src/test/java/lupinwood/council/MessageSizeTest.java
+++ b/src/test/java/lupinwood/council/MessageSizeTest.java
@@ -8,7 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import lupinwood.fleet.Beat;
+import lupinwood.fleet.Condition;
 import lupinwood.fleet.Deed;
+import lupinwood.fleet.Finding;
 import lupinwood.fleet.Life;
 import lupinwood.fleet.NodeName;
 import lupinwood.fleet.Report;
@@ -50,6 +53,25 @@
         assertThat(new Gson().toJson(seen).length()).isLessThan(Carriage.MOST_BYTES * 9 / 10);
     }
 
+    @Test
+    void aNodeMayNameAThousandServersOfEachKindInOneBeat() {
+        List<String> servers = new ArrayList<>();
+        List<Report.Use> uses = new ArrayList<>();
+        List<Finding> found = new ArrayList<>();
+        for (int i = 0; i < 1024; i++) {
+            servers.add("some-server-" + i);
+            uses.add(new Report.Use("some-place-" + i, 100, 123_456_789, 12_345_678, 123_456, 123456.7890123456, false));
+        }
+        Report report = new Report("0.5", "0123456789abcdef", new Report.Checked("0123456789abcdef", true, false, ""),
+                servers, 12_345, uses, tally());
+        Beat beat = new Beat(Beat.VERSION, new NodeName("node-1"), new Life(1), new Site("region", "zone"), Condition.WARM,
+                1L << 40, List.of(), List.of(), List.of(), servers, found, report);
+        assertThat(beat.cut().leftOut()).hasSize(1024);
+        assertThat(beat.cut().report().emptied()).hasSize(1024);
+        assertThat(beat.cut().report().uses()).hasSize(1024);
+        assertThat(new Gson().toJson(beat).length()).isLessThan(Carriage.MOST_BYTES * 9 / 10);
+    }
+
     @Test
     void aBatchOfTheLongestDeedsFits() {
         Map<String, Tally> past = new TreeMap<>();
