Derive tables from the memory, and the time to write from the abandon time

Cause: 8,192 tickets, 16,384 receipts, 8 MiB of bodies and 12 MB of answers were what 40 MB of heap bear, whatever the JVM was given; a dispatcher that wrote one message for over 1.5 s was closed, however long its callers wait. Change: a fifth of the heap each for tickets, receipts and their bodies, three tenths for answers that wait: the same figures at 40 MB. A connection of which the executor carried out a ticket may be as slow as the longest abandon time; all others as before.

--- a/src/main/java/lupinwood/core/Connections.java
+++ b/src/main/java/lupinwood/core/Connections.java
@@ -66,6 +66,8 @@
         int strikes;
         int unwanted;
         Moment openedAt;
+        /** Since when a message on it is known to be unfinished; null where none is. */
+        Moment unfinishedSince;
         /** When it was asked to close, or null. */
         Moment finishedAt;
         boolean closing;
@@ -186,6 +188,7 @@
         Connection connection = table.get(id.number());
         if (connection != null) {
             connection.spoke = true;
+            connection.unfinishedSince = null;
             rest(connection);
         }
     }
@@ -239,6 +242,7 @@
     void begin(ConnectionId id, long tag, TicketId ticket) {
         Connection connection = table.get(id.number());
         connection.spoke = true;
+        connection.unfinishedSince = null;
         connection.open.put(tag, ticket);
         open++;
         sort(connection);
@@ -301,11 +305,19 @@
     /** Nothing more counts that comes on it; it is closed once what is open is answered. */
     void end(ConnectionId id, Ending why) {
         Connection connection = table.get(id.number());
-        if (connection != null) {
+        if (connection != null && (why != Ending.SAID_NOTHING || !maySayIt(connection))) {
             end(connection, why);
         }
     }
 
+    /** A dispatcher may be slow to write, and somebody waits for what it began until the longest abandon time is over. */
+    private boolean maySayIt(Connection connection) {
+        if (connection.unfinishedSince == null) {
+            connection.unfinishedSince = clock.get();
+        }
+        return connection.standing && clock.get().isBefore(connection.unfinishedSince.plus(timeToRead));
+    }
+
     /** Nothing more is read from it, and it is closed once what is open is answered. */
     private void end(Connection connection, Ending why) {
         if (connection.closing) {
--- a/src/main/java/lupinwood/net/Front.java
+++ b/src/main/java/lupinwood/net/Front.java
@@ -24,7 +24,7 @@
     /** What may wait for one caller to read: a whole set of the longest answers. */
     private static final long MOST_WAITING = 160 * 1024;
     /** What may wait for all together; past it whoever has more than a few answers waiting is cut off. */
-    private static final long MOST_WAITING_ALL = 12 * 1024 * 1024;
+    private static final long MOST_WAITING_ALL = Tables.share(0.3);
     private static final long FEW = 16 * 1024;
     /**
      * A message that was begun is whole within so many of these. Each begins when the one before was seen to be over:
@@ -256,6 +256,9 @@
                 } else {
                     watched = false;
                     host.leftOff(id);
+                    if (!over) {
+                        watch(); // it may be slow
+                    }
                 }
             });
         }
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -23,9 +23,6 @@
 
 /** One real node: its sockets, its deciding thread, and how it leaves. */
 public final class Serving {
-    private static final int TICKETS = 8192;
-    private static final int RECEIPTS = 16384;
-    private static final long RECEIPT_BYTES = 8 * 1024 * 1024;
     /**
      * What the descriptors are for. What the process itself and its links need comes first, so that no crowd can take
      * it; dispatchers may have half of all in any case; of the rest calls get what they need, half at the most.
@@ -158,18 +155,20 @@
         fleet = config.meaning().items(Schema.VOTER).isEmpty() ? null
                 : new FleetPart(config.meaning(), servers, deadlines,
                         () -> hands == null ? null : hands.get(), () -> leaveAsked.run(), log);
+        Tables tables = Tables.of(Tables.share(1));
         int all = Math.min(config.sockets(), OpenFiles.limit());
         int own = Descriptors.own(OpenFiles.count(), ajp == null ? 1 : 2);
         Descriptors descriptors = Descriptors.of(all, own, Descriptors.callsOf(config));
         sockets.allow(descriptors.dispatchers() + descriptors.closing());
         log.line("descriptors " + all + ": dispatchers " + descriptors.dispatchers() + " and " + descriptors.closing()
-                + ", calls " + descriptors.calls() + ", own " + own);
+                + ", calls " + descriptors.calls() + ", own " + own + "; tickets " + tables.tickets() + ", receipts "
+                + tables.receipts() + " with " + tables.receiptBytes() / 1024 + " KB");
         index = new IndexLink(config.index(), descriptors.calls(), means);
         naming = new NamingReporter(config.naming(), config.name(), means);
         host = new Host(config.settings(), config.seed(), maker,
                 new Host.Ports(ajp == null ? listener : new Fronts(listener, ajp),
                         servers == null ? executor : new Works(executor, servers), index, log::line), deadlines,
-                new Host.Bounds(descriptors.dispatchers(), TICKETS, RECEIPTS, RECEIPT_BYTES), decider.time());
+                new Host.Bounds(descriptors.dispatchers(), tables.tickets(), tables.receipts(), tables.receiptBytes()), decider.time());
     }
 
     /** What the fleet's word to leave sets going; to be set before {@link #start}. */
--- a/src/test/java/lupinwood/core/HostTest.java
+++ b/src/test/java/lupinwood/core/HostTest.java
@@ -630,6 +630,32 @@
                 """);
     }
 
+    @Test
+    void aDispatcherMayBeSlowToWriteForTheLongestAbandonTimeAndOthersMayNot() {
+        start();
+        host.closeIdle(Span.ofSeconds(100));
+        ConnectionId other = host.connected();
+        tell(() -> host.checked(other, 1, false));
+        host.leftOff(other);
+        host.leftOff(line);
+        pass(1500);
+        host.leftOff(line);
+        tell(() -> host.checked(line, 2, false));
+        pass(1500);
+        host.leftOff(line);
+        pass(4999);
+        host.leftOff(line);
+        pass(1);
+        host.leftOff(line);
+        assertThat(printed()).isEqualTo("""
+                0 1 GOOD
+                0 close 1 SAID_NOTHING
+                500 close 1 SLOW_READER
+                1500 2 GOOD
+                8000 close 0 SAID_NOTHING
+                """);
+    }
+
     @Test
     void callsThatEndBadlyAreRepeatedOnlyAfterProofThatNoneRan() {
         start();
--- a/src/test/java/lupinwood/net/CrossingsTest.java
+++ b/src/test/java/lupinwood/net/CrossingsTest.java
@@ -646,6 +646,19 @@
         assertThat(Serving.Descriptors.of(1024, 24, 300).calls()).isGreaterThan(200);
     }
 
+    @Test
+    void whatIsKeptGrowsWithTheMemoryAndNeverTakesMoreThanItsPartOfIt() {
+        long small = 40L << 20;
+        assertThat(Tables.of(small)).isEqualTo(new Tables(8192, 16384, 8 << 20));
+        assertThat(Tables.of(50 * small)).isEqualTo(new Tables(50 * 8192, 50 * 16384, 50L * (8 << 20)));
+        for (long memory = 1; memory < 1L << 45; memory *= 3) {
+            Tables tables = Tables.of(memory);
+            assertThat(tables.tickets()).isBetween(1, 1 << 20);
+            assertThat(tables.receipts()).isPositive();
+            assertThat(tables.receiptBytes()).isLessThanOrEqualTo(memory / 5);
+        }
+    }
+
     @Test
     void namesWithBlanksAndCommasAreFoundAgain() throws Exception {
         settings = SETTINGS.replace("\"look\"", "\"look, see.v2\"").replace("\"acme\"", "\"acme & sons\"");
