Hold by tests that a call given up frees its descriptor, and that some stay in hand

Need: of what was mended no test held the calling off of a connection that the other side neither takes nor refuses. Change: Sockets can be made with another time to connect; DescriptorsTest calls one off at a full listener and sees the connect gone from the system's table; in the crowd it watches how many descriptors are open.

--- a/src/main/java/lupinwood/net/Sockets.java
+++ b/src/main/java/lupinwood/net/Sockets.java
@@ -39,6 +39,11 @@
     private final NioSocketConnector connector;
 
     Sockets(Log log) {
+        this(log, CONNECT_MS);
+    }
+
+    /** With another time, in milliseconds, after which a connection that the other side neither takes nor refuses is given up. */
+    Sockets(Log log, long connectMs) {
         this.log = log;
         processor = new Processor(threads, limit);
         acceptor = new Acceptor(processor, limit);
@@ -46,7 +51,7 @@
         prepare(acceptor);
         configure(connector.getSessionConfig());
         connector.setHandler(new Handler(null));
-        connector.setConnectTimeoutMillis(CONNECT_MS);
+        connector.setConnectTimeoutMillis(connectMs);
     }
 
     private static void prepare(NioSocketAcceptor listens) {
--- a/src/test/java/lupinwood/net/DescriptorsTest.java
+++ b/src/test/java/lupinwood/net/DescriptorsTest.java
@@ -7,13 +7,17 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -21,6 +25,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import lupinwood.core.Ending;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
@@ -94,6 +99,20 @@
         return lines.stream().anyMatch(line -> line.contains(text));
     }
 
+    /** The most that were seen open at once, from now on. */
+    private AtomicInteger mostOpen() {
+        AtomicInteger most = new AtomicInteger();
+        File open = new File("/proc/" + process.pid() + "/fd");
+        Thread looks = new Thread(() -> {
+            for (String[] now = open.list(); now != null; now = open.list()) {
+                most.accumulateAndGet(now.length, Math::max);
+            }
+        });
+        looks.setDaemon(true);
+        looks.start();
+        return most;
+    }
+
     /** The name service closes each connection; tells how many it had. */
     private AtomicInteger refuseReports() {
         AtomicInteger had = new AtomicInteger();
@@ -145,6 +164,71 @@
         threads.shutdown();
     }
 
+    /** The other side neither takes nor refuses: what is called off holds no descriptor until that times out. */
+    @Test
+    void aConnectionThatIsCalledOffWhileItConnectsEndsAtOnce() throws Exception {
+        Sockets sockets = new Sockets(log, 10 * PATIENCE_MS);
+        List<Socket> filling = new ArrayList<>();
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            boolean isFull = false;
+            while (!isFull) {
+                Socket one = new Socket();
+                filling.add(one);
+                try {
+                    one.connect(full.getLocalSocketAddress(), 300);
+                } catch (SocketTimeoutException e) {
+                    isFull = true;
+                }
+            }
+            CompletableFuture<Ending> failed = new CompletableFuture<>();
+            Runnable callOff = sockets.connect((InetSocketAddress) full.getLocalSocketAddress(), new Peer() {
+                @Override
+                public void opened(IoSession session) {
+                    failed.completeExceptionally(new AssertionError("it came about"));
+                }
+
+                @Override
+                public void received(ByteBuffer bytes) {
+                    throw new AssertionError("nothing comes on it");
+                }
+
+                @Override
+                public void inputClosed(IoSession session) {
+                    session.closeNow();
+                }
+
+                @Override
+                public void malformed(IoSession session) {
+                    session.closeNow();
+                }
+
+                @Override
+                public void closed(boolean malformed) {
+                    failed.completeExceptionally(new AssertionError("it stood"));
+                }
+            }, failed::complete);
+            until(() -> connecting(full.getLocalPort()) == 1);
+            callOff.run();
+            assertThat(failed.get(PATIENCE_MS, TimeUnit.MILLISECONDS)).isEqualTo(Ending.NEVER_CONNECTED);
+            until(() -> connecting(full.getLocalPort()) == 0);
+        } finally {
+            for (Socket one : filling) {
+                one.close();
+            }
+            sockets.dispose();
+        }
+    }
+
+    /** As the system has it: how many connections to this port wait for the other side's word. */
+    private static long connecting(int port) throws IOException {
+        String to = String.format("0100007F:%04X 02 ", port);
+        long count = 0;
+        for (String table : List.of("/proc/self/net/tcp", "/proc/self/net/tcp6")) {
+            count += Files.readAllLines(Path.of(table)).stream().filter(line -> line.contains(to)).count();
+        }
+        return count;
+    }
+
     /**
      * While the node stands still, more clients come than it may have descriptors, and its link to the executor is
      * lost; as it goes on, all of that is there at once.
@@ -171,6 +255,7 @@
         End late = connect();
         late.say(ticket(102, "look", "late"));
         int before = reports.get();
+        AtomicInteger most = mostOpen();
         signal("CONT");
 
         executor = executorPlace.accept();
@@ -197,6 +282,7 @@
             assertThat(end.isOver()).as("never said a word").isTrue();
         }
         assertThat(resting.get(0).isOverOnceAsked()).as("rested for longest").isTrue();
+        assertThat(most.get()).as("a few are left at any time").isLessThan(LIMIT);
         assertThat(isLogged("Too many open files")).as("%s", lines).isFalse();
         assertThat(isLogged("no link to the executor")).isFalse();
         assertThat(isLogged("no room for one more")).isFalse();
