--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -266,10 +266,10 @@
     void aCallHasTimeToComeBackAlsoWhereLingeringAloneTakesAllOfASmallShare() {
         machine.set("domain.calls_out=0.05 domain.calls_over_ns=5000000000 domain.linger_ns=200000000").start();
         machine.tell(machine.arrive(Machine.PURE), Handle::needsCall);
-        assertThat(machine.lastCap).isEqualTo(Span.ofSeconds(0.0625));
+        assertThat(machine.caps.get(1L)).isEqualTo(Span.ofSeconds(0.0625));
         machine = new Machine().set("domain.calls_out=0.05").start();
         machine.tell(machine.arrive(Machine.PURE), Handle::needsCall);
-        assertThat(machine.lastCap).as("over no time that is told").isEqualTo(Span.ofSeconds(2));
+        assertThat(machine.caps.get(1L)).as("over no time that is told").isEqualTo(Span.ofSeconds(2));
     }
 
     @Test
--- a/src/test/java/lupinwood/Machine.java
+++ b/src/test/java/lupinwood/Machine.java
@@ -21,7 +21,8 @@
     private long nextId = 1;
     Gauges gauges = Gauges.UNKNOWN;
     Span patience = Span.ZERO;
-    Span lastCap;
+    /** How long each ticket's latest call may take. */
+    final Map<Long, Span> caps = new HashMap<>();
     Brain brain;
 
     /** Two cores, four tracks (pure, receipted and effectful that call, and one that never does). */
@@ -139,7 +140,7 @@
 
     @Override
     public void call(TicketId ticket, Span cap) {
-        lastCap = cap;
+        caps.put(ticket.number(), cap);
         say("call " + ticket.number());
     }
 
