Weigh a ticket by its work where the settings count worth by work

Cause: worth_by was read by nobody. Held.gain counted each ticket alike, so what a ticket adds for its cost fell with its cost, and at a short hold the dearest went first, also those of five credits a second of work.

Change: where worth is counted by work, a ticket's gain, and what its track was asked for and satisfied, count by its cost as known when it came; else by one, as before.

BrainTest's new test fails without it, for work and not for requests.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -31,7 +31,7 @@
         final double[] reached = new double[8];
         final double[] endedAt = new double[8];
 
-        /** How many tickets were asked for and how many satisfied in their agreed time; halved with time. */
+        /** What was asked for, in tickets or in work, and what satisfied in its agreed time; halved with time. */
         double asked;
         double satisfied;
 
@@ -245,7 +245,7 @@
         open.put(held.number, held);
         usedKb += ticket.memoryKb();
         held.chargeCustomer();
-        held.track.asked++;
+        held.track.asked += held.amount;
         judgeTracks();
         callers.add(ticket.caller());
         if (callers.size() > MEMORY_OF) {
@@ -328,6 +328,8 @@
         /** The agreed time, or the last moment for an answer where that is sooner. */
         final Moment due;
         final Moment lastAnswer;
+        /** By how much its credit counts: its work, where that is what is paid for. */
+        final double amount;
         State state = State.HELD;
         boolean ran;
         boolean answered;
@@ -357,6 +359,7 @@
             Moment agreedAt = reached.plus(track.says.agreed())
                     .plus(ticket.work().times(track.says.agreedStretch()));
             due = agreedAt.isBefore(lastAnswer) ? agreedAt : lastAnswer;
+            amount = settings.is("worth_by", "work") ? cost() : 1;
         }
 
         double cost() {
@@ -369,7 +372,7 @@
         double gain() {
             double gain = (1 - settings.number("goal.worst_class", 0)) * track.says.credit() / askedCredit
                     + (track == worst ? settings.number("goal.worst_class", 0) / track.asked : 0);
-            return gain * (overShare ? settings.number("over_share_worth", 1) : 1);
+            return gain * amount * (overShare ? settings.number("over_share_worth", 1) : 1);
         }
 
         /** Whether it came too late for its work here, and not just because its work is large. */
@@ -525,7 +528,7 @@
                 callGivenUp();
             }
             leaveCores();
-            track.satisfied += outcome == Outcome.OK && !answered && !due.isBefore(server.now()) ? 1 : 0;
+            track.satisfied += outcome == Outcome.OK && !answered && !due.isBefore(server.now()) ? amount : 0;
             if (outcome == Outcome.OK && wasRunning) {
                 track.cost.add(got);
                 if (ticket.work().isPositive() && got > 0) {
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -471,4 +471,22 @@
         machine.arrive(Machine.LOCAL);
         assertThat(machine.printed()).contains("bounce");
     }
+
+    /** Seen on prairie-scans: where work is paid for, the dearest and best paid tickets were given up first. */
+    @Test
+    void whereWorkIsPaidForALargeTicketIsNotGivenUpForSmallOnesOfLessCredit() {
+        for (String by : new String[] {"work", "request"}) {
+            machine = new Machine().set("worth_by=" + by + " services.3.worth=5").start();
+            machine.work = Span.ofSeconds(0.4);
+            machine.arrive(Machine.LOCAL);
+            machine.arrive(Machine.LOCAL);
+            machine.work = Span.ofSeconds(0.2);
+            long small = machine.arrive(Machine.PURE);
+            machine.arrive(Machine.PURE);
+            machine.work = Span.ofSeconds(1.35);
+            long large = machine.arrive(Machine.LOCAL);
+            assertThat(machine.printed()).contains("bounce " + (by.equals("work") ? small + 1 : large));
+            assertThat(machine.printed()).doesNotContain("bounce " + (by.equals("work") ? large : small + 1));
+        }
+    }
 }
