Bound the connections to servers and reserve the voters' by the descriptors

Cause: connections to servers over AJP, up to 32 a server, and to voters were in no reckoning of descriptors; those given up as they connect stayed until that timed out. Change: servers share with calls up to half of what lies past dispatchers' half, in the measure of what each can use; past that a resting one gives its place, or the ticket waits. Two for each voter, one for the fleet's door. The tests' echo is written once. Result: CrossingsTest.theDescriptorsOfAnyPlatform has the sums; no test holds the waiting itself.

--- a/src/main/java/lupinwood/net/AjpServers.java
+++ b/src/main/java/lupinwood/net/AjpServers.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.IntUnaryOperator;
 import java.util.function.Supplier;
@@ -80,6 +81,9 @@
     private final long[] endedThere;
     private final long[] failedThere;
     private final double[] tookThere;
+    /** Connections at once, and those that may hold a descriptor: that connect, stand, or have not ended yet. */
+    private int mostOpen;
+    private int open;
     /** How many may be out at a server, by agreement; null for no such bound. */
     private IntUnaryOperator most;
     /** Servers of a lower one are asked first; null where all are alike. */
@@ -105,6 +109,7 @@
         }
         linger = new Span(Long.parseLong(meaning.values().getOrDefault("machine linger", "0")));
         pool = new Pool(meaning.items(Schema.SERVER), Rules.USUAL, seed);
+        mostOpen = mostConnections();
         asked = new long[servers.size()];
         endedThere = new long[servers.size()];
         failedThere = new long[servers.size()];
@@ -116,6 +121,16 @@
         host = served;
     }
 
+    /** As many as the pool can use at once. */
+    int mostConnections() {
+        return servers.size() * Rules.USUAL.mostOut();
+    }
+
+    /** From now on no more connections at once; tickets past that wait. */
+    void allow(int connections) {
+        mostOpen = connections;
+    }
+
     /** These rest and no others; what waits may have a place elsewhere now. */
     void rest(List<String> names) {
         pool.rest(names);
@@ -147,7 +162,7 @@
     }
 
     private void send(Run run) {
-        int server = choose(run);
+        int server = open < mostOpen || resting() != null ? choose(run) : -1;
         if (server >= 0) {
             run.tried.add(server);
             begin(run, server);
@@ -164,6 +179,11 @@
         }
     }
 
+    /** A connection that carries no ticket, or null. */
+    private Line resting() {
+        return servers.stream().map(server -> server.resting().peekLast()).filter(Objects::nonNull).findAny().orElse(null);
+    }
+
     private int choose(Run run) {
         if (most == null) {
             return pool.send(host.now(), run.tried, one -> servers.get(one).tracks().contains(run.track));
@@ -229,7 +249,11 @@
         Deque<Line> resting = servers.get(server).resting();
         Line line = resting.poll();
         if (line == null) {
+            if (open >= mostOpen && resting() != null) {
+                resting().close(); // another server's gives its place
+            }
             line = new Line(server);
+            open++;
             line.run = run;
             line.connect(means.sockets(), servers.get(server).address());
         } else {
@@ -259,6 +283,8 @@
         private Deadlines.Deadline target;
         private Deadlines.Deadline cap;
         private boolean over;
+        /** It holds no descriptor any more. */
+        private boolean gone;
 
         Line(int server) {
             super(means.decider(), new AnswerParser());
@@ -393,9 +419,7 @@
             servers.get(server).resting().remove(this);
             means.deadlines().callOff(rest);
             toFlush.remove(this);
-            if (outbox() != null) {
-                outbox().closeNow();
-            }
+            hangUp();
         }
 
         private void end(Ending why) {
@@ -414,8 +438,12 @@
 
         @Override
         void ended(Ending ending) {
+            open -= gone ? 0 : 1;
+            gone = true;
             if (!over) {
                 end(ending);
+            } else {
+                sendWaiting();
             }
         }
     }
--- a/src/main/java/lupinwood/net/Serving.java
+++ b/src/main/java/lupinwood/net/Serving.java
@@ -25,25 +25,30 @@
 public final class Serving {
     /**
      * What the descriptors are for. What the process itself and its links need comes first, so that no crowd can take
-     * it; dispatchers may have half of all in any case; of the rest calls get what they need, half at the most.
+     * it; dispatchers may have half of all in any case; of the rest what goes below gets what it needs, half at the most.
      *
      * @param dispatchers how many of their connections have a place at once
      * @param closing how many more may be open that come in, or make room and are closed
      * @param calls connections to the index
+     * @param runs connections to servers that carry out tickets
      */
-    record Descriptors(int dispatchers, int closing, int calls) {
+    record Descriptors(int dispatchers, int closing, int calls, int runs) {
         /** Opened while the node runs: a file read again, a name looked up, and one more of each kind. */
         private static final int LATER = 4;
         /** The link to the executor, and the next one. */
         private static final int EXECUTOR = 2;
         /** One in so many may be about to close: a node lets in some hundred a second though none closes by itself. */
         private static final int CLOSING = 8;
-        private static final int LEAST_CALLS = 2;
+        /** The least of each kind below that is needed at all. */
+        private static final int LEAST = 2;
         private static final int USUAL_CALLS = 32;
 
-        /** @param open what is open with all selectors made and no connection yet */
-        static int own(int open, int doors) {
-            return open + LATER + doors + EXECUTOR + NamingReporter.MOST_AT_ONCE;
+        /**
+         * @param open what is open with all selectors made and no connection yet
+         * @param voters of the fleet, each with a connection and the next one
+         */
+        static int own(int open, int doors, int voters) {
+            return open + LATER + doors + EXECUTOR + NamingReporter.MOST_AT_ONCE + 2 * voters;
         }
 
         /** How many calls may be out at once; the settings tell a mean, and 32 were never too many so far. */
@@ -59,15 +64,19 @@
 
         /**
          * @param own what the process and its links need
-         * @param needed connections that calls can use at once, 0 where there is nothing below
+         * @param mostCalls connections that calls can use at once, 0 where there is nothing below
+         * @param mostRuns the same for servers
          */
-        static Descriptors of(int all, int own, int needed) {
-            int rest = Math.max(LEAST_CALLS + 2, all - own);
+        static Descriptors of(int all, int own, int mostCalls, int mostRuns) {
+            int rest = Math.max(2 * LEAST + 2, all - own);
             int half = all / 2 + 1;
-            int calls = Math.min(needed, Math.max(LEAST_CALLS, (rest - half) / 2));
-            int accepted = rest - calls;
+            int room = Math.max(0, (rest - half) / 2);
+            double part = Math.min(1, room / Math.max(1.0, (double) mostCalls + mostRuns));
+            int calls = Math.max(Math.min(LEAST, mostCalls), (int) (mostCalls * part));
+            int runs = Math.max(Math.min(LEAST, mostRuns), (int) (mostRuns * part));
+            int accepted = rest - calls - runs;
             int closing = Math.max(1, Math.min(accepted / CLOSING, accepted - half));
-            return new Descriptors(accepted - closing, closing, calls);
+            return new Descriptors(accepted - closing, closing, calls, runs);
         }
     }
 
@@ -157,18 +166,24 @@
                         () -> hands == null ? null : hands.get(), () -> leaveAsked.run(), log);
         Tables tables = Tables.of(Tables.share(1));
         int all = Math.min(config.sockets(), OpenFiles.limit());
-        int own = Descriptors.own(OpenFiles.count(), ajp == null ? 1 : 2);
-        Descriptors descriptors = Descriptors.of(all, own, Descriptors.callsOf(config));
+        int voters = config.meaning().items(Schema.VOTER).size();
+        int own = Descriptors.own(OpenFiles.count(), (ajp == null ? 1 : 2) + (fleet == null ? 0 : 1), voters);
+        Descriptors descriptors = Descriptors.of(all, own, Descriptors.callsOf(config),
+                servers == null ? 0 : servers.mostConnections());
+        if (servers != null) {
+            servers.allow(descriptors.runs());
+        }
         sockets.allow(descriptors.dispatchers() + descriptors.closing());
         log.line("descriptors " + all + ": dispatchers " + descriptors.dispatchers() + " and " + descriptors.closing()
-                + ", calls " + descriptors.calls() + ", own " + own + "; tickets " + tables.tickets() + ", receipts "
+                + ", calls " + descriptors.calls() + ", runs " + descriptors.runs() + ", own " + own + "; tickets " + tables.tickets() + ", receipts "
                 + tables.receipts() + " with " + tables.receiptBytes() / 1024 + " KB");
         index = new IndexLink(config.index(), descriptors.calls(), means);
         naming = new NamingReporter(config.naming(), config.name(), means);
         host = new Host(config.settings(), config.seed(), maker,
                 new Host.Ports(ajp == null ? listener : new Fronts(listener, ajp),
                         servers == null ? executor : new Works(executor, servers), index, log::line), deadlines,
-                new Host.Bounds(descriptors.dispatchers(), tables.tickets(), tables.receipts(), tables.receiptBytes()), decider.time());
+                new Host.Bounds(descriptors.dispatchers(), tables.tickets(), tables.receipts(), tables.receiptBytes()),
+                decider.time());
     }
 
     /** What the fleet's word to leave sets going; to be set before {@link #start}. */
--- a/src/test/java/lupinwood/net/CrossingsTest.java
+++ b/src/test/java/lupinwood/net/CrossingsTest.java
@@ -20,11 +20,8 @@
 import lupinwood.Watched;
 import lupinwood.log.WallClock;
 import lupinwood.node.*;
-import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
-import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.junit.jupiter.api.AfterEach;
@@ -260,14 +257,7 @@
             }
         };
         acceptor.setCloseOnDeactivation(false);
-        acceptor.setHandler(new IoHandlerAdapter() {
-            @Override
-            public void messageReceived(IoSession session, Object message) {
-                session.write(IoBuffer.wrap("heard\n".getBytes(StandardCharsets.US_ASCII)));
-            }
-        });
-        acceptor.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        InetSocketAddress at = acceptor.getLocalAddress();
+        InetSocketAddress at = hears(acceptor);
         List<End> callers = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             callers.add(new End(new Socket(at.getAddress(), at.getPort())));
@@ -635,7 +625,7 @@
     void theDescriptorsOfAnyPlatformAreEnoughForAllThatTakesThem() {
         for (int all = 56; all < 5000; all++) {
             for (int needed : new int[] {0, 1, 32, 1_000_000}) {
-                Serving.Descriptors parts = Serving.Descriptors.of(all, 24, needed);
+                Serving.Descriptors parts = Serving.Descriptors.of(all, 24, needed, 0);
                 assertThat(parts.dispatchers()).as("of %d", all).isGreaterThan(all / 2);
                 assertThat(parts.closing()).isPositive();
                 assertThat(parts.calls()).isBetween(Math.min(2, needed), needed);
@@ -643,7 +633,14 @@
             }
         }
         // More calls where the settings let more be out, and never at the cost of the half that dispatchers may take.
-        assertThat(Serving.Descriptors.of(1024, 24, 300).calls()).isGreaterThan(200);
+        assertThat(Serving.Descriptors.of(1024, 24, 300, 0).calls()).isGreaterThan(200);
+        for (int all = 64; all < 5000; all++) {
+            Serving.Descriptors parts = Serving.Descriptors.of(all, 24, 64, 10 * 32);
+            assertThat(parts.dispatchers()).as("of %d", all).isGreaterThan(all / 2);
+            assertThat(parts.calls()).isBetween(2, 64);
+            assertThat(parts.runs()).isBetween(2, 320);
+            assertThat(parts.dispatchers() + parts.closing() + parts.calls() + parts.runs() + 24).isEqualTo(all);
+        }
     }
 
     @Test
--- a/src/test/java/lupinwood/net/DescriptorsTest.java
+++ b/src/test/java/lupinwood/net/DescriptorsTest.java
@@ -26,8 +26,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import lupinwood.core.Ending;
-import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -139,14 +137,7 @@
         ExecutorService threads = Executors.newCachedThreadPool();
         Processor processor = new Processor(threads, limit);
         Acceptor acceptor = new Acceptor(processor, limit);
-        acceptor.setHandler(new IoHandlerAdapter() {
-            @Override
-            public void messageReceived(IoSession session, Object message) {
-                session.write(IoBuffer.wrap("heard\n".getBytes(StandardCharsets.US_ASCII)));
-            }
-        });
-        acceptor.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        InetSocketAddress at = acceptor.getLocalAddress();
+        InetSocketAddress at = hears(acceptor);
         List<End> callers = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
             callers.add(new End(new Socket(at.getAddress(), at.getPort())));
--- a/src/test/java/lupinwood/net/SocketTest.java
+++ b/src/test/java/lupinwood/net/SocketTest.java
@@ -15,6 +15,9 @@
 import lupinwood.core.Host;
 import lupinwood.log.Log;
 import lupinwood.node.*;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.*;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -249,6 +252,18 @@
         }
     }
 
+    /** Listens, and says of whatever comes that it was heard. */
+    static InetSocketAddress hears(Acceptor acceptor) throws IOException {
+        acceptor.setHandler(new IoHandlerAdapter() {
+            @Override
+            public void messageReceived(IoSession session, Object message) {
+                session.write(IoBuffer.wrap("heard\n".getBytes(StandardCharsets.US_ASCII)));
+            }
+        });
+        acceptor.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        return acceptor.getLocalAddress();
+    }
+
     static String array(String... words) {
         StringBuilder text = new StringBuilder("*" + words.length + "\r\n");
         for (String word : words) {
