--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -31,7 +31,7 @@
         final double[] reached = new double[8];
         final double[] endedAt = new double[8];
 
-        /** What was asked for, in tickets or in work, and what satisfied in its agreed time; halved with time. */
+        /** How many tickets were asked for and how many satisfied in their agreed time; halved with time. */
         double asked;
         double satisfied;
 
@@ -53,49 +53,6 @@
         }
     }
 
-    /**
-     * The latest hints, and what they cost here. A hint that is only rough says less the farther it is from the
-     * usual: of the tickets hinted largest many are not so large. So the cost goes with a power of the hint, by
-     * least squares over the logarithms, which are drawn to the power of one by as many figures as are enough.
-     */
-    private static final class HintBook {
-        private record Priced(double hint, double cost) {}
-
-        private final Deque<Priced> latest = new ArrayDeque<>();
-        private double power = 1;
-        private double price;
-
-        void add(double hint, double cost) {
-            latest.add(new Priced(hint, cost));
-            if (latest.size() > MEMORY_OF * 2) {
-                latest.remove();
-            }
-            double x = latest.stream().mapToDouble(p -> Math.log(p.hint)).average().orElse(0);
-            double xx = ENOUGH;
-            double xy = ENOUGH;
-            for (Priced p : latest) {
-                xx += Math.pow(Math.log(p.hint) - x, 2);
-                xy += (Math.log(p.hint) - x) * Math.log(p.cost);
-            }
-            power = Math.max(0, Math.min(1, xy / xx));
-            price = price(power);
-        }
-
-        boolean known() {
-            return latest.size() >= ENOUGH;
-        }
-
-        /** What all cost, over what so many powers of their hints come to. */
-        double price(double power) {
-            return latest.stream().mapToDouble(Priced::cost).sum()
-                    / latest.stream().mapToDouble(p -> Math.pow(p.hint, power)).sum();
-        }
-
-        double cost(double hint) {
-            return price * Math.pow(hint, power);
-        }
-    }
-
     /** One customer's share of this node in tickets a second, and what it has saved up of it. */
     private final class CustomerBook {
         double rate;
@@ -187,7 +144,9 @@
     private double wanting = 1; // the part of those that run that wants a core and no disk
     /** The latest calls, fast to follow a change; unlike the calm median it takes in every one. */
     private final Histogram latestCalls = new Histogram(MEMORY_OF / 4);
-    private final HintBook hints = new HintBook();
+    /** What was hinted, and what it cost; their means make the price of a hint here. */
+    private final Histogram hints = new Histogram(MEMORY_OF);
+    private final Histogram hintedCost = new Histogram(MEMORY_OF);
     private double advised = -1;
     private double unread; // how far through their agreed time the latest tickets were when read
     private double floor; // the rank below which callers are to send nothing, but for the best-paid band
@@ -245,7 +204,7 @@
         open.put(held.number, held);
         usedKb += ticket.memoryKb();
         held.chargeCustomer();
-        held.track.asked += held.amount;
+        held.track.asked++;
         judgeTracks();
         callers.add(ticket.caller());
         if (callers.size() > MEMORY_OF) {
@@ -328,8 +287,6 @@
         /** The agreed time, or the last moment for an answer where that is sooner. */
         final Moment due;
         final Moment lastAnswer;
-        /** By how much its credit counts: its work, where that is what is paid for. */
-        final double amount;
         State state = State.HELD;
         boolean ran;
         boolean answered;
@@ -359,20 +316,18 @@
             Moment agreedAt = reached.plus(track.says.agreed())
                     .plus(ticket.work().times(track.says.agreedStretch()));
             due = agreedAt.isBefore(lastAnswer) ? agreedAt : lastAnswer;
-            amount = settings.is("worth_by", "work") ? cost() : 1;
         }
 
         double cost() {
             double hint = ticket.work().seconds();
-            return hint <= 0 ? track.costNow(speedNow())
-                    : hints.known() ? hints.cost(hint) : hint * slowness();
+            return hint > 0 ? hint * slowness() : track.costNow(speedNow());
         }
 
         /** What satisfying this one adds to the goal: its credit, and more while its track is worst. */
         double gain() {
             double gain = (1 - settings.number("goal.worst_class", 0)) * track.says.credit() / askedCredit
                     + (track == worst ? settings.number("goal.worst_class", 0) / track.asked : 0);
-            return gain * amount * (overShare ? settings.number("over_share_worth", 1) : 1);
+            return gain * (overShare ? settings.number("over_share_worth", 1) : 1);
         }
 
         /** Whether it came too late for its work here, and not just because its work is large. */
@@ -528,11 +483,12 @@
                 callGivenUp();
             }
             leaveCores();
-            track.satisfied += outcome == Outcome.OK && !answered && !due.isBefore(server.now()) ? amount : 0;
+            track.satisfied += outcome == Outcome.OK && !answered && !due.isBefore(server.now()) ? 1 : 0;
             if (outcome == Outcome.OK && wasRunning) {
                 track.cost.add(got);
-                if (ticket.work().isPositive() && got > 0) {
-                    hints.add(ticket.work().seconds(), got);
+                if (ticket.work().isPositive()) {
+                    hints.add(ticket.work().seconds());
+                    hintedCost.add(got);
                 }
             }
             failed |= outcome != Outcome.OK;
@@ -782,7 +738,7 @@
 
     /** What a second of work on a standard core takes here: more on slow and cold machines. */
     private double slowness() {
-        return hints.known() ? hints.price(1) : 1 / speedNow();
+        return hints.weight() >= ENOUGH ? hintedCost.mean() / hints.mean() : 1 / speedNow();
     }
 
     private void startCalls() {
--- a/src/test/java/lupinwood/Machine.java
+++ b/src/test/java/lupinwood/Machine.java
@@ -23,7 +23,6 @@
     Span patience = Span.ZERO;
     /** How long each ticket's latest call may take. */
     final Map<Long, Span> caps = new HashMap<>();
-    Span work = Span.ZERO;
     Brain brain;
 
     /** Two cores, four tracks (pure, receipted and effectful that call, and one that never does). */
@@ -64,7 +63,7 @@
         long id = nextId++;
         TicketId repeats = original == 0 ? null : new TicketId(original);
         handles.put(id, brain.take(new Ticket(new TicketId(id), new TrackId(track), new CustomerId(customer),
-                new SubjectId(0), new CallerId(1), patience, work, memoryKb, 0.5, false, Span.ZERO, repeats)));
+                new SubjectId(0), new CallerId(1), patience, Span.ZERO, memoryKb, 0.5, false, Span.ZERO, repeats)));
         brain.settle();
         return id;
     }
