--- a/src/test/java/lupinwood/net/AnyOperatorTest.java
+++ b/src/test/java/lupinwood/net/AnyOperatorTest.java
@@ -2,7 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import lupinwood.core.Arrival;
+import lupinwood.node.Span;
 import org.junit.jupiter.api.Test;
 
 /** What a node owes on its sockets at operators whose settings and requests differ from each other's. */
@@ -54,6 +58,20 @@
         assertThat(caller.answer()).isEqualTo("102 ACK + in its track's time");
     }
 
+    @Test
+    void whatARequestCarriesIsReadWithItsMeaning() throws Exception {
+        ByteBuffer bytes = ByteBuffer.wrap(ticket(7, "look", "b", ",timeout=9086,ms=217.87,resent=1")
+                .getBytes(StandardCharsets.ISO_8859_1));
+        Arrival arrival = DispatcherListener.arrival(new RespParser().next(bytes));
+        assertThat(arrival.patience()).isEqualTo(Span.ofSeconds(9.086));
+        assertThat(arrival.work()).isEqualTo(Span.ofSeconds(0.21787));
+        assertThat(arrival.repeat()).isTrue();
+        bytes = ByteBuffer.wrap(ticket(7, "look", "b", ",resent=0").getBytes(StandardCharsets.ISO_8859_1));
+        arrival = DispatcherListener.arrival(new RespParser().next(bytes));
+        assertThat(arrival).extracting(Arrival::patience, Arrival::work, Arrival::repeat)
+                .containsExactly(Span.ZERO, Span.ZERO, false);
+    }
+
     @Test
     void aTimeThatIsNoneIsAnsweredOnceAndTheOthersOnItsConnectionGoOn() throws Exception {
         start();
