--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -655,8 +655,8 @@
             if (state == State.RUNNING && canStop) {
                 server.stop(ticket.id());
             } else if (!ran) {
-                // Whoever leaves before the agreed time has asked for nothing: a client gone wild may send and
-                // withdraw hundreds, which are neither its customer's share nor a track served badly.
+                // Whoever leaves before the agreed time has asked for nothing: a client gone wild may send
+                // and withdraw hundreds, which are neither its customer's share nor a track served badly.
                 if (server.now().isBefore(due)) {
                     unchargeCustomer();
                     track.asked = Math.max(0, track.asked - 1);
