Let calls be calm for a cold node whose requests wait for their turn to call

Cause: with one shared dependency a node that starts cold makes one call at a time until six calls were seen in calm, and a call was calm only while twice the count was under the limit. The count takes in the requests that wait for their turn, so with some ten of them waiting no call ever was calm and the node stayed at one call at a time for its whole life.

Change: while no track has a calm median, what waits for its turn to call doesn't count against calm; it loads nothing below. It should help any cold node above a slow dependency, and may hurt where the six calls fall into a crowd of other nodes' calls: the median is then too high, as before, until calm ones replace it.

BrainTest (red without it), StrainTest and FleetCallsTest pass.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -513,7 +513,9 @@
         void makeCall() {
             waitsToCall.remove(this);
             state = State.CALLING;
-            calmCall = count * 2 < limit;
+            // Those that wait for their turn to call load nothing below: while that turn is one call at a time, since
+            // no median is known yet, they must not keep it from ever being known.
+            calmCall = (count - (knowsNoCalm() ? waitsToCall.size() : 0)) * 2 < limit;
             callsInHand++;
             calledAt = server.now();
             backBefore = callsBack + callsInHand;
@@ -762,11 +764,16 @@
         double least = toldShare * LEAST_CALLS;
         double slack = calm.weight() < ENOUGH ? 1 : 3 * calm.median() / Math.max(1e-9, took.seconds());
         callsAllowed = slack < 1 ? Math.max(least, callsAllowed * slack)
-                : tracks.stream().allMatch(track -> track.calmCalls.weight() < ENOUGH) ? callsAllowed
+                : knowsNoCalm() ? callsAllowed
                 : Math.min(toldShare, callsAllowed + least * least / callsAllowed);
         return slack < 1;
     }
 
+    /** Whether no track's calls have a calm median yet. */
+    private boolean knowsNoCalm() {
+        return tracks.stream().allMatch(track -> track.calmCalls.weight() < ENOUGH);
+    }
+
     /** What a call takes just now; while none is out nothing is known, and one is always tried. */
     private Span callTime() {
         return (callsInHand > 0 || pausing()) && latestCalls.weight() > 0
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -426,6 +426,25 @@
         assertThat(callsOfFour()).as("one that is warm from the start").isEqualTo(4);
     }
 
+    /** Seen on quarry-scans: those that waited for their turn filled the count, so no call was calm, for a whole life. */
+    @Test
+    void aColdNodeLearnsWhatIsCalmAlsoWhileManyWaitForTheirTurnToCall() {
+        patient().set("domain.calls_out=10 domain.cpus=16 domain.cold=true rules.cold_share=0.9").start();
+        for (int i = 0; i < 15; i++) {
+            machine.tell(machine.arrive(Machine.PURE), Handle::needsCall);
+        }
+        long calls = 0;
+        for (int i = 0; i < 7; i++) {
+            assertThat(machine.caps).as("calls made, one at a time").hasSize(i + 1);
+            long calling = machine.caps.keySet().stream().filter(id -> !machine.handles.get(id).isOver()).findAny().orElseThrow();
+            machine.tell(calling, handle -> handle.callEnded(Outcome.OK, Span.ofSeconds(0.1)));
+            machine.end(calling);
+            machine.tell(machine.arrive(Machine.PURE), Handle::needsCall);
+            calls = machine.caps.size() - i - 1;
+        }
+        assertThat(calls).as("calls out once six were seen in calm").isGreaterThan(1);
+    }
+
     @Test
     void aColdNodeAboveATierIsToldNoShareSoItsCallsAreBoundByTheLimitAlone() {
         machine.set("domain.below=tier domain.calls_out=0 domain.cpus=8 domain.cold=true rules.cold_share=0.9").start();
