--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -214,8 +214,8 @@
         Held original = ticket.original() == null ? null : remembered.get(ticket.original());
         if (held.track.says.effect() == Effect.RECEIPTED && ticket.original() != null
                 && (original == null || original.ran || original.state != State.OVER)) {
-            // Rule 2: some try of this ticket ran here, or may yet; it is never run again. Of one that is no longer
-            // remembered here the machine may still have the result.
+            // Rule 2: some try of this ticket ran here, or may yet; it is never run again. Of one that is no
+            // longer remembered here the machine may still have the result.
             if (original != null && original.failed) {
                 held.fail();
             } else {
@@ -237,9 +237,10 @@
             hold.add(held);
         }
         if (held.state != State.OVER) {
-            // Rules 1 and 3: whatever is under way, the answer goes out before the caller leaves, or this node: a
-            // repeat may come after the last call, and wait for a result.
-            Moment last = leftAt != null && lastCall().isBefore(held.lastAnswer) ? lastCall() : held.lastAnswer;
+            // Rules 1 and 3: whatever is under way, the answer goes out before the caller leaves, or this
+            // node: a repeat may come after the last call, and wait for a result.
+            Moment last = leftAt != null && lastCall().isBefore(held.lastAnswer)
+                    ? lastCall() : held.lastAnswer;
             alarms.at(last, () -> held.bounce("never got to run", Span.ZERO));
         }
         return held;
@@ -365,7 +366,8 @@
             if (track.says.skipWorth() > 0) {
                 cap = left.minus(Span.ofSeconds(Math.max(0, cost() - got))).max(left.times(0.5)).max(step);
             }
-            // Of a share that lingering alone uses up half is left, or no call would ever come back; the pause keeps it.
+            // Of a share that lingering alone uses up half is left, or no call would ever come back; the
+            // pause keeps it.
             Span share = settings.span("domain.calls_over_ns").times(toldShare / 2);
             Span own = share.minus(settings.span("domain.linger_ns")).max(share.times(0.5)).max(step);
             return toldShare < 1 && share.isPositive() ? cap.min(own) : cap;
@@ -513,8 +515,8 @@
         void makeCall() {
             waitsToCall.remove(this);
             state = State.CALLING;
-            // Those that wait for their turn to call load nothing below: while that turn is one call at a time, since
-            // no median is known yet, they must not keep it from ever being known.
+            // Those that wait for their turn to call load nothing below: while that turn is one call at a
+            // time, since no median is known yet, they must not keep it from ever being known.
             calmCall = (count - (knowsNoCalm() ? waitsToCall.size() : 0)) * 2 < limit;
             callsInHand++;
             calledAt = server.now();
@@ -832,7 +834,8 @@
     /** Now and then, at a twentieth of the time over which a crowd is averaged: the advice is set anew. */
     private void beat() {
         advise();
-        Span pause = settings.span("rules.fall_ns").times(0.05).max(step).max(Span.ofSeconds(meanAgreed / 100));
+        Span pause = settings.span("rules.fall_ns").times(0.05).max(step)
+                .max(Span.ofSeconds(meanAgreed / 100));
         // The part of a ticket's time to the agreed time that goes by before it runs, unread and in the hold.
         double work = hold.stream().filter(held -> !held.overShare).mapToDouble(Held::cost).sum();
         double standing = work / cores / meanAgreed + unread;
