Count what calls among the crowd that the cores survive

Brain.startRuns starts none past the crowd's ceiling (3 there), so the rest came back from calls, which go on by themselves when answered: Brain.startCalls asked only for the share of calls and for the limit, and on a tier for the limit alone (found by reading; the nodes' logs were not kept).

Change: a run or a call begins only while what is on the cores and what is out calling are together no more than the machine survives at the speed it has for certain. So the sum on the cores stays under the rule's figure however the calls come back.

BrainTest (red without it), StrainTest, FleetCallsTest and AnyConfigTest pass.

--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -131,6 +131,7 @@
     private final TreeMap<Long, Held> open = new TreeMap<>(); // all that is owed an answer or takes memory
     private int onCores;
     private int callsInHand;
+    private int callsOut; // of those, the ones whose tickets come back to the cores by themselves
     private int callsBack;
     private int count;
     private double usedKb;
@@ -519,6 +520,7 @@
             // time, since no median is known yet, they must not keep it from ever being known.
             calmCall = (count - (knowsNoCalm() ? waitsToCall.size() : 0)) * 2 < limit;
             callsInHand++;
+            callsOut++;
             calledAt = server.now();
             backBefore = callsBack + callsInHand;
             Span cap = callCap();
@@ -564,6 +566,7 @@
             if (state != State.CALLING) {
                 return;
             }
+            callsOut--;
             latestCalls.add(took.seconds());
             boolean crowded = crowdedBelow(took, track.calmCalls);
             if (outcome == Outcome.OK) {
@@ -635,6 +638,7 @@
         /** Rule 4: a call that was given up stays in the hands of what lies below for a while. */
         private void callGivenUp() {
             alarms.in(settings.span("domain.linger_ns"), this::callOutOfHand);
+            callsOut -= state == State.CALLING ? 1 : 0;
             state = State.WAITS_TO_CALL;
         }
 
@@ -723,14 +727,23 @@
         // Reading shares the cores with what runs: a node behind in its reading runs fewer, to catch up.
         double behind = Math.max(0.25, 1 - unread);
         double room = Math.min(cores * (2 / wanting - 1) * behind, Math.floor(crowdCeiling()));
-        while (!hold.isEmpty() && onCores < room && usedKb + hold.first().runKb() <= memory) {
+        while (!hold.isEmpty() && onCores < room && crowdHasRoom() && usedKb + hold.first().runKb() <= memory) {
             hold.first().run();
         }
     }
 
     /** Rule 4: the crowd on the cores that this machine survives just now, with a margin. */
     private double crowdCeiling() {
-        return Math.max(1, cores * (1 + (settings.number("rules.fall_multiple", 3) - 1) * speedNow()) * SAFE);
+        return Math.max(1, crowdSurvived() * SAFE);
+    }
+
+    private double crowdSurvived() {
+        return cores * (1 + (settings.number("rules.fall_multiple", 3) - 1) * speedNow());
+    }
+
+    /** Rule 4: all that call come back to the cores unasked, perhaps at once; with them it must still survive. */
+    private boolean crowdHasRoom() {
+        return onCores + callsOut + 1 <= Math.max(1, crowdSurvived());
     }
 
     /** The share of its speed that a machine has for certain: it starts cold and rises evenly. */
@@ -753,7 +766,7 @@
                 waiting.skipOrFail();
             }
         }
-        while (!pausing() && !waitsToCall.isEmpty() && callsInHand + 1 <= Math.max(1, callsAllowed)) {
+        while (!pausing() && !waitsToCall.isEmpty() && crowdHasRoom() && callsInHand + 1 <= Math.max(1, callsAllowed)) {
             waitsToCall.stream().max(Comparator.comparing(Held::gainEachCall)).ifPresent(Held::makeCall);
         }
     }
--- a/src/test/java/lupinwood/BrainTest.java
+++ b/src/test/java/lupinwood/BrainTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Map;
 import lupinwood.node.*;
 import org.junit.jupiter.api.Test;
@@ -445,6 +446,25 @@
         assertThat(calls).as("calls out once six were seen in calm").isGreaterThan(1);
     }
 
+    /** Seen on a throng day of oslo-till-offers: calls came back together, and four and more ran on two cores. */
+    @Test
+    void ticketsThatCallAreNoMoreThanTheCoresSurviveShouldAllComeBackAtOnce() {
+        patient().set("domain.calls_out=20 rules.fall_multiple=2").start();
+        for (int i = 0; i < 12; i++) {
+            machine.arrive(Machine.PURE);
+            machine.handles.forEach((id, handle) -> {
+                if (machine.printed().contains("run " + id + "\n") && !machine.caps.containsKey(id)) {
+                    machine.tell(id, Handle::needsCall);
+                }
+            });
+        }
+        assertThat(machine.caps).as("calls out on two cores that survive four tickets").hasSizeLessThanOrEqualTo(4);
+        List.copyOf(machine.caps.keySet()).forEach(id ->
+                machine.tell(id, handle -> handle.callEnded(Outcome.OK, Span.ofSeconds(1))));
+        long running = machine.printed().lines().filter(line -> line.matches("\\d+ run \\d+")).count();
+        assertThat(running).as("all that ran, none of which ended").isBetween(3L, 4L);
+    }
+
     @Test
     void aColdNodeAboveATierIsToldNoShareSoItsCallsAreBoundByTheLimitAlone() {
         machine.set("domain.below=tier domain.calls_out=0 domain.cpus=8 domain.cold=true rules.cold_share=0.9").start();
