--- a/src/main/java/lupinwood/Brain.java
+++ b/src/main/java/lupinwood/Brain.java
@@ -727,7 +727,8 @@
         // Reading shares the cores with what runs: a node behind in its reading runs fewer, to catch up.
         double behind = Math.max(0.25, 1 - unread);
         double room = Math.min(cores * (2 / wanting - 1) * behind, Math.floor(crowdCeiling()));
-        while (!hold.isEmpty() && onCores < room && crowdHasRoom() && usedKb + hold.first().runKb() <= memory) {
+        while (!hold.isEmpty() && onCores < room && crowdHasRoom()
+                && usedKb + hold.first().runKb() <= memory) {
             hold.first().run();
         }
     }
@@ -741,7 +742,7 @@
         return cores * (1 + (settings.number("rules.fall_multiple", 3) - 1) * speedNow());
     }
 
-    /** Rule 4: all that call come back to the cores unasked, perhaps at once; with them it must still survive. */
+    /** Rule 4: all that call come back to the cores unasked, perhaps at once; it must survive that too. */
     private boolean crowdHasRoom() {
         return onCores + callsOut + 1 <= Math.max(1, crowdSurvived());
     }
@@ -766,7 +767,8 @@
                 waiting.skipOrFail();
             }
         }
-        while (!pausing() && !waitsToCall.isEmpty() && crowdHasRoom() && callsInHand + 1 <= Math.max(1, callsAllowed)) {
+        while (!pausing() && !waitsToCall.isEmpty() && crowdHasRoom()
+                && callsInHand + 1 <= Math.max(1, callsAllowed)) {
             waitsToCall.stream().max(Comparator.comparing(Held::gainEachCall)).ifPresent(Held::makeCall);
         }
     }
