--- a/review/src/Case2.java
+++ b/review/src/Case2.java
@@ -66,8 +66,9 @@
             rules { drain-grace 2.2s; crowd 4; crowd-over 1.8s }
             track seam.preview { effect pure; agreed-time 8s; abandon-time 25s }
             track seam.model { effect pure; credit 4; agreed-time 20s; abandon-time 60s }
-            server dock-1 { address "127.0.0.1:%d"; tracks seam.preview seam.model }
-            server dock-2 { address "127.0.0.1:%d"; tracks seam.preview seam.model }
+            track blast-permit { effect receipted; credit 6; agreed-time 9s; abandon-time 30s; window 45s }
+            server dock-1 { address "127.0.0.1:%d"; tracks seam.preview seam.model blast-permit }
+            server dock-2 { address "127.0.0.1:%d"; tracks seam.preview seam.model blast-permit }
             """
                 .formatted(listen, executor, naming, first, second);
     }
@@ -142,13 +143,17 @@
                         dispatchers.add(dispatcher);
                     }
                     String id = String.format("%016x", random.nextLong());
-                    String className = random.nextInt(8) < 5 ? "seam.preview" : "seam.model";
+                    int share = random.nextInt(10);
+                    String className = share < 5 ? "seam.preview" : share < 8 ? "seam.model" : "blast-permit";
                     record.line("sent " + id + " " + className);
                     dispatcher.send(
                             id,
                             className,
                             "req=" + id + ",ts=" + System.currentTimeMillis()
-                                    + ",via=1,need=24.5,level=0.5000,subject=" + id,
+                                    + ",via=1,need=24.5,level=0.5000"
+                                    + (share < 8
+                                            ? ",subject=" + id
+                                            : String.format(",opkey=%016x%016x", random.nextLong(), random.nextLong())),
                             Common.ascii(String.format("%-" + BODY_BYTES + "s", className + " " + id)));
                 } catch (IOException e) {
                     record.line("sending failed: " + e.getMessage());
