Send no command again that was written to the restored executor connection

ExecutorSession.recover then took every unconfirmed command for one of the lost connection, and the gauge of a METERS written before the run was read for proof that it was lost.

Change: CommandDelivery holds the state of one command (UNSENT, SENT, IN_DOUBT, READ) and the number of its connection; only a command of an earlier connection than the recovered one comes into doubt. A late METERS of an earlier connection proves nothing any more.

--- a/src/main/java/lupinwood/processing/ActiveRequest.java
+++ b/src/main/java/lupinwood/processing/ActiveRequest.java
@@ -11,9 +11,6 @@
  * <p>Owned by the event loop thread.
  */
 final class ActiveRequest {
-    /** Stands in for a reply: the run shall continue without its call. */
-    static final byte[] SKIP_CALL = {};
-
     final ConnectionId connection;
 
     /** The tag of the request on its connection. */
@@ -39,20 +36,8 @@
     /** Whether it runs at a server and does not use the executor connection. */
     boolean runsAtServer;
 
-    /** Whether the run command was written to a connection, so the executor may have read it. */
-    boolean runSent;
-
-    /** Whether a later message proved that the executor read the run command. */
-    boolean runConfirmed;
-
-    /** Whether the last command, a run or a reply, may have been lost with a connection. */
-    boolean inDoubt;
-
-    /** The last query tag issued before the run command was written. */
-    long lastQueryTagBeforeRun;
-
-    /** The last query tag issued before the latest reply was written. */
-    long lastQueryTagBeforeReply;
+    /** Whether the executor read the run command. */
+    final CommandDelivery runDelivery = new CommandDelivery();
 
     /**
      * The body of the call that the run waits for, as received; null while it waits for none. After
@@ -61,10 +46,7 @@
     byte[] callBody;
 
     /** The last reply to the run, until the executor is known to have read it; otherwise null. */
-    byte[] unconfirmedReply;
-
-    /** Whether the reply was written to a connection, so the executor may have read it. */
-    boolean replySent;
+    CallReply unconfirmedReply;
 
     /** When the pending call was made; null if none is pending. */
     MonotonicTime calledAt;
@@ -83,6 +65,6 @@
      * yet.
      */
     boolean isSkippingCall() {
-        return unconfirmedReply == SKIP_CALL;
+        return unconfirmedReply != null && unconfirmedReply.skipsCall();
     }
 }
--- a/src/main/java/lupinwood/processing/ExecutorSession.java
+++ b/src/main/java/lupinwood/processing/ExecutorSession.java
@@ -7,6 +7,7 @@
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
 import lupinwood.admission.ResourceUsage;
+import lupinwood.processing.CommandDelivery.State;
 
 /**
  * Sends the executor commands about runs and tracks which of them it is known to have read, because
@@ -30,13 +31,20 @@
     private final Supplier<RequestValidator> validator;
     private final Consumer<String> log;
 
+    /** The number of the current connection; it grows by one with each restored connection. */
+    private long currentConnection;
+
     /**
-     * The tag of the resource usage query that was sent on a restored connection. Its reply arrives
-     * after all executor messages that were not delivered while the connection was lost, so it
-     * proves that those have been read. {@link #NO_QUERY_TAG} while no such reply is awaited.
+     * The tag of the first resource usage query on the current connection. Its reply arrives after
+     * all executor messages that were not delivered while the connection was lost, so it proves
+     * that those have been read. {@link #NO_QUERY_TAG} on the first connection, which has no such
+     * query.
      */
     private long recoveryQueryTag = NO_QUERY_TAG;
 
+    /** Whether the reply to the recovery query has not arrived yet. */
+    private boolean awaitsRecovery;
+
     /** Whether the executor can stop runs; assumed until it refuses to. */
     private boolean canStop = true;
 
@@ -73,13 +81,13 @@
     /** Asks the executor to run a request. */
     void run(ActiveRequest activeRequest) {
         IncomingRequest incomingRequest = activeRequest.incomingRequest;
-        activeRequest.lastQueryTagBeforeRun = queryTags.last();
         activeRequest.runsAtServer = !executor.usesExecutorConnection(incomingRequest.className());
-        activeRequest.runSent =
+        boolean written =
                 executor.run(
                         incomingRequest.attemptId(),
                         incomingRequest.className(),
                         incomingRequest.body());
+        activeRequest.runDelivery.onWriteAttempted(written, currentConnection, queryTags.last());
     }
 
     /**
@@ -87,8 +95,7 @@
      * needed. The completion that the executor reports tells whether the earlier command was read.
      */
     void runIfInDoubt(ActiveRequest activeRequest) {
-        if (activeRequest.inDoubt && !activeRequest.runConfirmed) {
-            activeRequest.inDoubt = false;
+        if (activeRequest.runDelivery.is(State.IN_DOUBT)) {
             run(activeRequest);
         }
     }
@@ -105,8 +112,8 @@
 
     /** Sends a run the reply to the call that it waits for. */
     void giveReply(ActiveRequest activeRequest, byte[] reply) {
-        activeRequest.unconfirmedReply = reply;
-        giveReply(activeRequest);
+        activeRequest.unconfirmedReply = CallReply.of(reply);
+        writeReply(activeRequest);
     }
 
     /** Lets a run continue without its call; false if the executor can't do that for this run. */
@@ -114,17 +121,15 @@
         if (!canSkipCalls || activeRequest.runsAtServer) {
             return false;
         }
-        giveReply(activeRequest, ActiveRequest.SKIP_CALL);
+        activeRequest.unconfirmedReply = CallReply.skip();
+        writeReply(activeRequest);
         return true;
     }
 
-    private void giveReply(ActiveRequest activeRequest) {
-        activeRequest.lastQueryTagBeforeReply = queryTags.last();
-        AttemptId id = activeRequest.incomingRequest.attemptId();
-        activeRequest.replySent =
-                activeRequest.isSkippingCall()
-                        ? executor.skipCall(id)
-                        : executor.giveReply(id, activeRequest.unconfirmedReply);
+    private void writeReply(ActiveRequest activeRequest) {
+        CallReply reply = activeRequest.unconfirmedReply;
+        boolean written = reply.writeTo(executor, activeRequest.incomingRequest.attemptId());
+        reply.delivery.onWriteAttempted(written, currentConnection, queryTags.last());
     }
 
     /**
@@ -175,6 +180,8 @@
      * executor messages that were not delivered while the connection was lost.
      */
     void onConnectionRestored() {
+        currentConnection++;
+        awaitsRecovery = true;
         recoveryQueryTag = queryTags.next();
         executor.askResourceUsage(recoveryQueryTag);
     }
@@ -184,48 +191,50 @@
      * previous call were read.
      */
     void onCallNeeded(ActiveRequest activeRequest) {
-        activeRequest.runConfirmed = true;
-        activeRequest.inDoubt = false;
+        activeRequest.runDelivery.onProvenRead();
         activeRequest.unconfirmedReply = null;
     }
 
     /**
-     * Handles the reply to a resource usage query. It proves that all commands sent before the
-     * query were read, except those in doubt. While the reply to the query on a restored connection
-     * is awaited, other replies prove nothing; that reply itself begins the recovery.
+     * Handles the reply to a resource usage query. It proves that all commands written to the
+     * current connection before the query were read. Until the reply to the recovery query begins
+     * the recovery, other replies prove nothing, and neither does a late one of an earlier
+     * connection.
      */
     void onResourceUsage(long queryTag, ResourceUsage usage) {
-        if (recoveryQueryTag != NO_QUERY_TAG && queryTag == recoveryQueryTag) {
-            recoveryQueryTag = NO_QUERY_TAG;
+        boolean isOfEarlierConnection = queryTag < recoveryQueryTag;
+        boolean overtakesRecovery = awaitsRecovery && queryTag > recoveryQueryTag;
+        if (isOfEarlierConnection || overtakesRecovery) {
+            return;
+        }
+        if (awaitsRecovery) {
+            awaitsRecovery = false;
             recover();
-        } else if (recoveryQueryTag == NO_QUERY_TAG) {
+        } else {
             requests.started().forEach(activeRequest -> confirmBefore(queryTag, activeRequest));
         }
-        if (recoveryQueryTag == NO_QUERY_TAG) {
-            resolveDoubts(usage.wantingCore());
-        }
+        resolveDoubts(usage.wantingCore());
     }
 
     private static void confirmBefore(long queryTag, ActiveRequest activeRequest) {
-        activeRequest.runConfirmed |=
-                activeRequest.runSent
-                        && !activeRequest.inDoubt
-                        && queryTag > activeRequest.lastQueryTagBeforeRun;
-        if (activeRequest.replySent
-                && !activeRequest.inDoubt
-                && queryTag > activeRequest.lastQueryTagBeforeReply) {
-            activeRequest.callBody = activeRequest.isSkippingCall() ? null : activeRequest.callBody;
-            activeRequest.unconfirmedReply = null;
+        activeRequest.runDelivery.onQueryReply(queryTag);
+        CallReply reply = activeRequest.unconfirmedReply;
+        if (reply != null) {
+            reply.delivery.onQueryReply(queryTag);
+            if (reply.delivery.is(State.READ)) {
+                activeRequest.callBody = reply.skipsCall() ? null : activeRequest.callBody;
+                activeRequest.unconfirmedReply = null;
+            }
         }
     }
 
     /**
-     * Recovers after a lost connection, on which the last commands may not have been read. Run
-     * commands that were never written are written now, and so are replies that were never written,
-     * if their request is still open. A safe request's run command is sent again even if it was
-     * written, because a run in progress ignores it. All other unconfirmed run commands are in
-     * doubt, and so are replies that were written but not confirmed, if their request is still
-     * open. Stop commands are not sent again.
+     * Recovers after a lost connection, on which the last commands may not have been read. Commands
+     * that were never written are written now; replies only if their request is still open. A safe
+     * request's run command is sent again even if it was written, because a run in progress ignores
+     * it. All other commands written to an earlier connection and not known to be read are in
+     * doubt. Commands already written to the restored connection are not: they arrive in their
+     * turn. Stop commands are not sent again.
      */
     private void recover() {
         requests.started().stream()
@@ -234,20 +243,24 @@
     }
 
     private void recover(ActiveRequest activeRequest) {
-        if (!activeRequest.runConfirmed) {
-            if (activeRequest.runSent && !validator.get().isSafe(activeRequest.incomingRequest)) {
-                activeRequest.inDoubt = true;
-            } else {
-                run(activeRequest);
-            }
-        } else if (activeRequest.unconfirmedReply != null && !activeRequest.answered) {
-            activeRequest.inDoubt = activeRequest.replySent;
-            if (!activeRequest.inDoubt) {
-                giveReply(activeRequest);
+        CommandDelivery run = activeRequest.runDelivery;
+        run.onRecovery(currentConnection);
+        if (run.is(State.UNSENT) || (run.is(State.IN_DOUBT) && isSafe(activeRequest))) {
+            run(activeRequest);
+        }
+        CallReply reply = activeRequest.unconfirmedReply;
+        if (reply != null) {
+            reply.delivery.onRecovery(currentConnection);
+            if (reply.delivery.is(State.UNSENT) && !activeRequest.answered) {
+                writeReply(activeRequest);
             }
         }
     }
 
+    private boolean isSafe(ActiveRequest activeRequest) {
+        return validator.get().isSafe(activeRequest.incomingRequest);
+    }
+
     /**
      * Sends commands in doubt again once it is proved that they were not read. They must not be
      * repeated without proof: an idempotent run might just have ended and would run twice, and a
@@ -259,8 +272,7 @@
      * polled again after each reply that contains the number; without the number nothing is
      * resolved or polled.
      *
-     * <p>The logged count is the number of commands that were in doubt. It includes replies whose
-     * request was answered meanwhile, which are not sent again.
+     * <p>The logged count is the number of commands sent again.
      *
      * @param wantingCore how many requests use or wait for a core at the executor; NaN if unknown
      */
@@ -268,7 +280,7 @@
         int certainCount = 0;
         List<ActiveRequest> inDoubt = new ArrayList<>();
         for (ActiveRequest activeRequest : requests.started()) {
-            if (activeRequest.inDoubt) {
+            if (isInDoubt(activeRequest)) {
                 inDoubt.add(activeRequest);
             } else if (isCertainlyOnCore(activeRequest)) {
                 certainCount++;
@@ -286,19 +298,28 @@
         }
     }
 
+    private static boolean isInDoubt(ActiveRequest activeRequest) {
+        return activeRequest.runDelivery.is(State.IN_DOUBT) || isReplyInDoubt(activeRequest);
+    }
+
+    /** A request that has its response needs no reply any more, so none is in doubt. */
+    private static boolean isReplyInDoubt(ActiveRequest activeRequest) {
+        CallReply reply = activeRequest.unconfirmedReply;
+        return reply != null && reply.delivery.is(State.IN_DOUBT) && !activeRequest.answered;
+    }
+
     private static boolean isCertainlyOnCore(ActiveRequest activeRequest) {
         return !activeRequest.runsAtServer
-                && activeRequest.runConfirmed
+                && activeRequest.runDelivery.is(State.READ)
                 && activeRequest.callBody == null
                 && activeRequest.unconfirmedReply == null;
     }
 
     private void resend(ActiveRequest activeRequest) {
-        activeRequest.inDoubt = false;
-        if (!activeRequest.runConfirmed) {
+        if (activeRequest.runDelivery.is(State.IN_DOUBT)) {
             run(activeRequest);
-        } else if (!activeRequest.answered) {
-            giveReply(activeRequest);
+        } else {
+            writeReply(activeRequest);
         }
     }
 
@@ -306,4 +327,14 @@
         doubtPoll = null;
         askResourceUsage();
     }
+
+    @Override
+    public String toString() {
+        return "connection="
+                + currentConnection
+                + " awaitsRecovery="
+                + awaitsRecovery
+                + " recoveryQuery="
+                + recoveryQueryTag;
+    }
 }
