Write waiting commands once a hand-over of the executor connection fails

While the current connection is asked for its last resource usage it takes no commands. If the connection that should replace it ended before it was used, the current one went on, but the runs and replies given meanwhile were never written: nothing is recovered where nothing is lost. They waited for their deadline and failed, and held their place on the cores until then.

Change: ExecutorClient tells the processor that the hand-over was abandoned, and the session writes what is unsent then. The test that runs at servers take no part in the recovery is new as well.

--- a/src/main/java/lupinwood/net/ExecutorClient.java
+++ b/src/main/java/lupinwood/net/ExecutorClient.java
@@ -120,14 +120,20 @@
             link = given.before;
             given.before = null;
         }
-        if (link != null) {
-            link.handovers = 0;
-        }
+        abandonHandOver();
         if (given.outbox() != null) {
             given.outbox().closeNow();
         }
     }
 
+    /** The current connection takes commands again, if it was about to be replaced. */
+    private void abandonHandOver() {
+        if (link != null && link.handovers != 0) {
+            link.handovers = 0;
+            processor.onExecutorHandOverAbandoned();
+        }
+    }
+
     private void connect() {
         context.deadlines().cancel(again);
         newest = new ExecutorConnection();
@@ -242,9 +248,7 @@
                 context.log().line("no link to the executor: " + ending);
             }
             if (this == newest) {
-                if (link != null) {
-                    link.handovers = 0;
-                }
+                abandonHandOver();
                 boolean settled =
                         welcomed && SETTLED.compareTo(processor.now().since(joinedAt)) < 0;
                 again =
--- a/src/main/java/lupinwood/processing/ExecutorSession.java
+++ b/src/main/java/lupinwood/processing/ExecutorSession.java
@@ -237,21 +237,41 @@
      * turn. Stop commands are not sent again.
      */
     private void recover() {
-        requests.started().stream()
+        for (ActiveRequest activeRequest : runsOnConnection()) {
+            activeRequest.runDelivery.onRecovery(currentConnection);
+            if (activeRequest.unconfirmedReply != null) {
+                activeRequest.unconfirmedReply.delivery.onRecovery(currentConnection);
+            }
+        }
+        writeUnread();
+    }
+
+    /** The requests for which a run was requested, except runs at servers. */
+    private List<ActiveRequest> runsOnConnection() {
+        return requests.started().stream()
                 .filter(activeRequest -> !activeRequest.runsAtServer)
-                .forEach(this::recover);
+                .toList();
     }
 
-    private void recover(ActiveRequest activeRequest) {
-        CommandDelivery run = activeRequest.runDelivery;
-        run.onRecovery(currentConnection);
-        if (run.is(State.UNSENT) || (run.is(State.IN_DOUBT) && isSafe(activeRequest))) {
-            run(activeRequest);
+    /**
+     * Handles a connection that takes commands again after a hand-over to another one failed.
+     * Nothing written before is lost, but commands given meanwhile were not written.
+     */
+    void onHandOverAbandoned() {
+        if (!awaitsRecovery) {
+            writeUnread();
         }
-        CallReply reply = activeRequest.unconfirmedReply;
-        if (reply != null) {
-            reply.delivery.onRecovery(currentConnection);
-            if (reply.delivery.is(State.UNSENT) && !activeRequest.answered) {
+    }
+
+    /** Writes the commands that the executor has not read, or may read twice. */
+    private void writeUnread() {
+        for (ActiveRequest activeRequest : runsOnConnection()) {
+            CommandDelivery run = activeRequest.runDelivery;
+            if (run.is(State.UNSENT) || (run.is(State.IN_DOUBT) && isSafe(activeRequest))) {
+                run(activeRequest);
+            }
+            CallReply reply = activeRequest.unconfirmedReply;
+            if (reply != null && reply.delivery.is(State.UNSENT) && !activeRequest.answered) {
                 writeReply(activeRequest);
             }
         }
--- a/src/main/java/lupinwood/processing/RequestProcessor.java
+++ b/src/main/java/lupinwood/processing/RequestProcessor.java
@@ -277,6 +277,14 @@
         }
     }
 
+    /**
+     * Handles an executor connection that takes commands again after one that should have replaced
+     * it failed. Commands that could not be written meanwhile are written now.
+     */
+    public void onExecutorHandOverAbandoned() {
+        session.onHandOverAbandoned();
+    }
+
     /** Whether the executor connected warm, or connected and was started at least this long ago. */
     public boolean isWarm(NanoDuration warmAfter) {
         return policyRunner.isWarm(warmAfter);
--- a/src/test/java/lupinwood/net/ExecutorClientTest.java
+++ b/src/test/java/lupinwood/net/ExecutorClientTest.java
@@ -87,4 +87,26 @@
         exit(3, 101, "done");
         assertThat(caller.answer()).isEqualTo("101 ACK + done");
     }
+
+    /**
+     * Guards against a run that is never sent: the request arrives while the current connection is
+     * about to be replaced and takes no commands, and the connection that should replace it ends
+     * before it is used. The current one stays, and nothing is recovered.
+     */
+    @Test
+    void runThatWaitedForAReplacementIsSentOnceTheReplacementFails() throws Exception {
+        End caller = upstream();
+        End current = executor;
+        standsStill = true; // the replacement is neither used nor made again by time alone
+        executorPlace = new Place();
+        serving.reload(config());
+        assertThat(current.line()).startsWith("METER ");
+        End replacement = executorPlace.accept();
+        caller.say(request(101, "pay", "a"));
+        until(() -> serving.figures().contains("openRequests=1"));
+        replacement.socket.close();
+        expectRun(101, "pay", "a");
+        exit(1, 101, "paid");
+        assertThat(caller.answer()).isEqualTo("101 ACK + paid");
+    }
 }
--- a/src/test/java/lupinwood/processing/ExecutorSessionTest.java
+++ b/src/test/java/lupinwood/processing/ExecutorSessionTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Tests which commands are sent again after the connection to the executor was lost. */
@@ -105,4 +106,19 @@
         assertThat(executor.starts(request)).isEqualTo(1);
         assertThat(executor.requests.size()).isZero();
     }
+
+    /**
+     * Guards against a run at a server that is repeated because the connection to the executor was
+     * lost, which it does not use: the server ends it, whatever happens to that connection.
+     */
+    @Test
+    void runAtAServerIsNotRepeatedWhenTheConnectionIsLost() {
+        executor.classesAtServers.addAll(List.of("token", "pure"));
+        AttemptId keyed = executor.start(1, "token");
+        AttemptId safe = executor.start(2, "pure");
+        reconnect();
+        executor.exchangeAll(); // the recovery, whose resource usage counts no run on a core
+        assertThat(executor.starts(keyed)).isEqualTo(1);
+        assertThat(executor.starts(safe)).isEqualTo(1);
+    }
 }
--- a/src/test/java/lupinwood/processing/SimulatedExecutor.java
+++ b/src/test/java/lupinwood/processing/SimulatedExecutor.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.RecordingServer;
@@ -68,6 +70,9 @@
     /** What went wrong: a second run of an unsafe request, or a reply given to a run twice. */
     final List<String> violations = new ArrayList<>();
 
+    /** The request classes whose runs are carried out by servers, without this connection. */
+    final Set<String> classesAtServers = new HashSet<>();
+
     private final ExecutorSession session;
     private final List<String> log = new ArrayList<>();
     private final Deque<Command> toExecutor = new ArrayDeque<>();
@@ -314,8 +319,17 @@
         return welcomed;
     }
 
+    @Override
+    public boolean usesExecutorConnection(String className) {
+        return !classesAtServers.contains(className);
+    }
+
     @Override
     public boolean run(AttemptId id, String className, byte[] body) {
+        if (classesAtServers.contains(className)) {
+            starts.merge(id, 1, Integer::sum);
+            return true;
+        }
         return write(new Command.Start(id));
     }
 
