Send no command in doubt again while its request is open

Cause: on_cores no higher than the runs known to be on the cores was taken for proof that no command in doubt was read. It leaves out runs that wait for a disk (WIRE: "Waits for disk occur without notice"), so each of those hid one in doubt. Second way in, found by the search through all orders: after an answer the run in doubt was sent again at once, though EXEC may overtake the answer by which the executor learns that the request is over.

Change: no report proves that a command was not read, whatever gauges a site has. A run of a request with an effect, or a reply, stays in doubt until a notice of the run comes; the request gets its result or, at its deadline, FAIL. A run is asked for once more after an ABORT or 0.25 s past its client's time, when the executor answers MOOT or goes on with the run, which frees its memory. The polling every 4 ms is gone.

commandInDoubtIsResentOnlyOnceResourceUsageProvesItUnread asserted the fault (a count of 0 as proof); in its place runInDoubtIsSentAgainOnlyOnceItsClientNoLongerWaits and replyInDoubtIsNotSentAgain assert that neither is sent again with a count of 0, when the run is, and that the request ends. Two tests have the new log line.

--- a/src/main/java/lupinwood/net/NodeServer.java
+++ b/src/main/java/lupinwood/net/NodeServer.java
@@ -16,6 +16,7 @@
 import lupinwood.consensus.ConfigApplier;
 import lupinwood.log.Log;
 import lupinwood.processing.RequestProcessor;
+import lupinwood.processing.TableLimits;
 import lupinwood.processing.TimerService;
 import lupinwood.reload.ConfigDiff;
 import lupinwood.settings.ChangeEffect;
@@ -268,7 +269,7 @@
                                 dependencyClient,
                                 log::line),
                         deadlines,
-                        new RequestProcessor.TableLimits(
+                        new TableLimits(
                                 descriptors.upstreams(),
                                 sizes.requests(),
                                 sizes.idempotencyRecords(),
--- a/src/main/java/lupinwood/net/WarmUp.java
+++ b/src/main/java/lupinwood/net/WarmUp.java
@@ -18,6 +18,7 @@
 import lupinwood.processing.Executor;
 import lupinwood.processing.RequestProcessor;
 import lupinwood.processing.Response;
+import lupinwood.processing.TableLimits;
 import lupinwood.processing.TimerService;
 import lupinwood.processing.UpstreamConnections;
 
@@ -66,7 +67,7 @@
                         maker,
                         new RequestProcessor.Ports(this, this, this, line -> {}),
                         deadlines,
-                        new RequestProcessor.TableLimits(64, 1024, 1024, 1 << 16),
+                        new TableLimits(64, 1024, 1024, 1 << 16),
                         now);
     }
 
--- a/src/main/java/lupinwood/processing/ActiveRequest.java
+++ b/src/main/java/lupinwood/processing/ActiveRequest.java
@@ -30,6 +30,12 @@
     /** Whether the response was written, or is no longer needed since the client left. */
     boolean answered;
 
+    /** When its client no longer waits for the response, at the latest. */
+    final MonotonicTime clientWaitsUntil;
+
+    /** Whether the client said that it no longer waits for the response. */
+    boolean aborted;
+
     /** Whether a run was requested, with or without a connection to the executor. */
     boolean started;
 
@@ -54,10 +60,15 @@
     /** Fires when the pending call times out; null if none is pending. */
     TimerService.Timer callTimer;
 
-    ActiveRequest(ConnectionId connection, long tag, IncomingRequest incomingRequest) {
+    ActiveRequest(
+            ConnectionId connection,
+            long tag,
+            IncomingRequest incomingRequest,
+            MonotonicTime clientWaitsUntil) {
         this.connection = connection;
         this.tag = tag;
         this.incomingRequest = incomingRequest;
+        this.clientWaitsUntil = clientWaitsUntil;
     }
 
     /**
--- a/src/main/java/lupinwood/processing/ExecutorSession.java
+++ b/src/main/java/lupinwood/processing/ExecutorSession.java
@@ -1,12 +1,11 @@
 package lupinwood.processing;
 
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
-import lupinwood.admission.ResourceUsage;
 import lupinwood.processing.CommandDelivery.State;
 
 /**
@@ -17,8 +16,12 @@
  * <p>Owned by the event loop thread.
  */
 final class ExecutorSession {
-    /** How often resource usage is polled while commands are in doubt. */
-    private static final NanoDuration DOUBT_POLL_INTERVAL = NanoDuration.ofSeconds(0.004);
+    /**
+     * How long after its client's timeout a request counts as over at the executor too. Its
+     * response is on the way for a part of that time, and the two may see the timeout at different
+     * moments.
+     */
+    private static final NanoDuration OVER_MARGIN = NanoDuration.ofSeconds(0.25);
 
     /** A tag that no query has. */
     private static final long NO_QUERY_TAG = 0;
@@ -51,8 +54,8 @@
     /** Whether the executor can let runs continue without a call; assumed until it refuses to. */
     private boolean canSkipCalls = true;
 
-    /** The next poll of resource usage that resolves doubts; null if none is scheduled. */
-    private TimerService.Timer doubtPoll;
+    /** Fires when the next request with a run command in doubt is over; null if there is none. */
+    private TimerService.Timer overTimer;
 
     /**
      * Creates a session that has no connection yet.
@@ -91,10 +94,11 @@
     }
 
     /**
-     * Sends a run command in doubt again, for a request whose response was written or is no longer
-     * needed. The completion that the executor reports tells whether the earlier command was read.
+     * Handles a client that no longer waits for a request. The request is over, also for the
+     * executor, so a run command in doubt can be sent again.
      */
-    void runIfInDoubt(ActiveRequest activeRequest) {
+    void onAborted(ActiveRequest activeRequest) {
+        activeRequest.aborted = true;
         if (activeRequest.runDelivery.is(State.IN_DOUBT)) {
             run(activeRequest);
         }
@@ -201,7 +205,7 @@
      * the recovery, other replies prove nothing, and neither does a late one of an earlier
      * connection.
      */
-    void onResourceUsage(long queryTag, ResourceUsage usage) {
+    void onResourceUsage(long queryTag) {
         boolean isOfEarlierConnection = queryTag < recoveryQueryTag;
         boolean overtakesRecovery = awaitsRecovery && queryTag > recoveryQueryTag;
         if (isOfEarlierConnection || overtakesRecovery) {
@@ -213,7 +217,6 @@
         } else {
             requests.started().forEach(activeRequest -> confirmBefore(queryTag, activeRequest));
         }
-        resolveDoubts(usage.wantingCore());
     }
 
     private static void confirmBefore(long queryTag, ActiveRequest activeRequest) {
@@ -233,17 +236,43 @@
      * that were never written are written now; replies only if their request is still open. A safe
      * request's run command is sent again even if it was written, because a run in progress ignores
      * it. All other commands written to an earlier connection and not known to be read are in
-     * doubt. Commands already written to the restored connection are not: they arrive in their
-     * turn. Stop commands are not sent again.
+     * doubt, and nothing that the executor reports proves that one was not read: resource usage
+     * does not count a run that waits for a disk. They stay in doubt until a message about the run
+     * arrives or the request is over. Commands already written to the restored connection are not
+     * in doubt: they arrive in their turn. Stop commands are not sent again.
      */
     private void recover() {
+        int runsInDoubt = 0;
+        int repliesInDoubt = 0;
         for (ActiveRequest activeRequest : runsOnConnection()) {
             activeRequest.runDelivery.onRecovery(currentConnection);
+            runsInDoubt += isRunInDoubt(activeRequest) ? 1 : 0;
             if (activeRequest.unconfirmedReply != null) {
                 activeRequest.unconfirmedReply.delivery.onRecovery(currentConnection);
+                repliesInDoubt += isReplyInDoubt(activeRequest) ? 1 : 0;
             }
         }
+        if (runsInDoubt + repliesInDoubt > 0) {
+            log.accept(
+                    "executor connection recovered connection="
+                            + currentConnection
+                            + " runsInDoubt="
+                            + runsInDoubt
+                            + " repliesInDoubt="
+                            + repliesInDoubt);
+        }
         writeUnread();
+        scheduleOverTimer();
+    }
+
+    private boolean isRunInDoubt(ActiveRequest activeRequest) {
+        return activeRequest.runDelivery.is(State.IN_DOUBT) && !isSafe(activeRequest);
+    }
+
+    /** A request that has its response needs no reply any more, so none is in doubt. */
+    private static boolean isReplyInDoubt(ActiveRequest activeRequest) {
+        return activeRequest.unconfirmedReply.delivery.is(State.IN_DOUBT)
+                && !activeRequest.answered;
     }
 
     /** The requests for which a run was requested, except runs at servers. */
@@ -263,11 +292,12 @@
         }
     }
 
-    /** Writes the commands that the executor has not read, or may read twice. */
+    /** Writes the commands that the executor has not read, or may read twice without harm. */
     private void writeUnread() {
         for (ActiveRequest activeRequest : runsOnConnection()) {
             CommandDelivery run = activeRequest.runDelivery;
-            if (run.is(State.UNSENT) || (run.is(State.IN_DOUBT) && isSafe(activeRequest))) {
+            if (run.is(State.UNSENT)
+                    || (run.is(State.IN_DOUBT) && mayRunCommandBeRepeated(activeRequest))) {
                 run(activeRequest);
             }
             CallReply reply = activeRequest.unconfirmedReply;
@@ -277,75 +307,42 @@
         }
     }
 
+    private boolean mayRunCommandBeRepeated(ActiveRequest activeRequest) {
+        return isSafe(activeRequest) || isOver(activeRequest);
+    }
+
     private boolean isSafe(ActiveRequest activeRequest) {
         return validator.get().isSafe(activeRequest.incomingRequest);
     }
 
     /**
-     * Sends commands in doubt again once it is proved that they were not read. They must not be
-     * repeated without proof: an idempotent run might just have ended and would run twice, and a
-     * run that has its reply would take a repeated one for the reply to its next call. The executor
-     * reports how many requests use or wait for a core. That number includes every run on a core
-     * (and whatever else uses the cores), and every executor message sent before it has been read
-     * by now. If it is at most the number of runs that are known to be on a core, no run in doubt
-     * is on a core, so the executor read none of the commands in doubt. Otherwise resource usage is
-     * polled again after each reply that contains the number; without the number nothing is
-     * resolved or polled.
-     *
-     * <p>The logged count is the number of commands sent again.
-     *
-     * @param wantingCore how many requests use or wait for a core at the executor; NaN if unknown
+     * Whether the request is over at the executor too, which then starts no run of it and reports
+     * whether one is still in progress. The response alone does not tell: a run command sent right
+     * behind it may arrive before it.
      */
-    private void resolveDoubts(double wantingCore) {
-        int certainCount = 0;
-        List<ActiveRequest> inDoubt = new ArrayList<>();
-        for (ActiveRequest activeRequest : requests.started()) {
-            if (isInDoubt(activeRequest)) {
-                inDoubt.add(activeRequest);
-            } else if (isCertainlyOnCore(activeRequest)) {
-                certainCount++;
-            }
-        }
-        if (inDoubt.isEmpty() || Double.isNaN(wantingCore)) {
-            return;
-        }
-        if (wantingCore <= certainCount) {
-            log.accept("resent commands lost with the executor connection count=" + inDoubt.size());
-            inDoubt.forEach(this::resend);
-        } else if (doubtPoll == null) {
-            MonotonicTime next = clock.now().plus(DOUBT_POLL_INTERVAL);
-            doubtPoll = timers.schedule(next, this::pollDoubts);
-        }
-    }
-
-    private static boolean isInDoubt(ActiveRequest activeRequest) {
-        return activeRequest.runDelivery.is(State.IN_DOUBT) || isReplyInDoubt(activeRequest);
+    private boolean isOver(ActiveRequest activeRequest) {
+        return activeRequest.aborted || !clock.now().isBefore(overAt(activeRequest));
     }
 
-    /** A request that has its response needs no reply any more, so none is in doubt. */
-    private static boolean isReplyInDoubt(ActiveRequest activeRequest) {
-        CallReply reply = activeRequest.unconfirmedReply;
-        return reply != null && reply.delivery.is(State.IN_DOUBT) && !activeRequest.answered;
+    private static MonotonicTime overAt(ActiveRequest activeRequest) {
+        return activeRequest.clientWaitsUntil.plus(OVER_MARGIN);
     }
 
-    private static boolean isCertainlyOnCore(ActiveRequest activeRequest) {
-        return !activeRequest.runsAtServer
-                && activeRequest.runDelivery.is(State.READ)
-                && activeRequest.callBody == null
-                && activeRequest.unconfirmedReply == null;
+    private void scheduleOverTimer() {
+        timers.cancel(overTimer);
+        overTimer =
+                runsOnConnection().stream()
+                        .filter(this::isRunInDoubt)
+                        .filter(activeRequest -> !isOver(activeRequest))
+                        .map(ExecutorSession::overAt)
+                        .min(Comparator.naturalOrder())
+                        .map(overAt -> timers.schedule(overAt, this::onRequestsOver))
+                        .orElse(null);
     }
 
-    private void resend(ActiveRequest activeRequest) {
-        if (activeRequest.runDelivery.is(State.IN_DOUBT)) {
-            run(activeRequest);
-        } else {
-            writeReply(activeRequest);
-        }
-    }
-
-    private void pollDoubts() {
-        doubtPoll = null;
-        askResourceUsage();
+    private void onRequestsOver() {
+        writeUnread();
+        scheduleOverTimer();
     }
 
     @Override
--- a/src/main/java/lupinwood/processing/RequestActions.java
+++ b/src/main/java/lupinwood/processing/RequestActions.java
@@ -63,7 +63,6 @@
         if (activeRequest != null) {
             calls.cancel(activeRequest);
             responses.fail(activeRequest);
-            session.runIfInDoubt(activeRequest);
         }
     }
 
@@ -86,12 +85,20 @@
         }
     }
 
-    /** Handles a client that left, or whose connection closed; the admission policy is notified. */
+    /** Handles a client that no longer waits; the admission policy is notified. */
+    void abort(RequestId requestId) {
+        ActiveRequest activeRequest = requests.get(requestId);
+        if (activeRequest != null) {
+            session.onAborted(activeRequest);
+        }
+        clientGone(requestId);
+    }
+
+    /** Handles a client whose connection closed; the admission policy is notified. */
     void clientGone(RequestId requestId) {
         ActiveRequest activeRequest = requests.get(requestId);
         if (activeRequest != null && !activeRequest.answered) {
             responses.clientGone(activeRequest);
-            session.runIfInDoubt(activeRequest);
             activeRequest.listener.onClientGone();
         }
     }
--- a/src/main/java/lupinwood/processing/RequestIntake.java
+++ b/src/main/java/lupinwood/processing/RequestIntake.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
 import lupinwood.admission.Request;
 
@@ -96,7 +97,11 @@
             failInvalid(connection, tag, incomingRequest, fault.get());
             return;
         }
-        admit(new ActiveRequest(connection, tag, incomingRequest), originalRecord);
+        MonotonicTime clientWaitsUntil =
+                incomingRequest.reached().plus(validator.get().effectiveTimeout(incomingRequest));
+        admit(
+                new ActiveRequest(connection, tag, incomingRequest, clientWaitsUntil),
+                originalRecord);
     }
 
     /**
--- a/src/main/java/lupinwood/processing/RequestProcessor.java
+++ b/src/main/java/lupinwood/processing/RequestProcessor.java
@@ -33,18 +33,6 @@
         AdmissionPolicy make(ServerActions actions, long seed, Map<String, String> settings);
     }
 
-    /**
-     * The capacity of a processor's tables, independent of the memory that the policy reserves.
-     *
-     * @param connections the maximum number of connections
-     * @param requests the maximum number of requests that the policy has not released
-     * @param idempotencyRecords the maximum number of idempotency records
-     * @param idempotencyBytes the total size of bodies and results in bytes; above it finished ones
-     *     are dropped
-     */
-    public record TableLimits(
-            int connections, int requests, int idempotencyRecords, long idempotencyBytes) {}
-
     /** The outputs of a processor. */
     public record Ports(
             UpstreamConnections upstreams,
@@ -234,7 +222,7 @@
         if (requestId != null) {
             connections.removeRequest(connection, tag);
             connections.countUnservedRequest(connection);
-            actions.clientGone(requestId);
+            actions.abort(requestId);
         }
     }
 
@@ -343,7 +331,7 @@
      */
     public void resourceUsageRead(long queryTag, double[] values) {
         ResourceUsage usage = ResourceUsage.named(resourceUsageNames, values);
-        session.onResourceUsage(queryTag, usage);
+        session.onResourceUsage(queryTag);
         wakeUps.onResourceUsage(queryTag, usage);
     }
 
--- a/src/test/java/lupinwood/net/NodeServerTest.java
+++ b/src/test/java/lupinwood/net/NodeServerTest.java
@@ -22,6 +22,7 @@
 import lupinwood.admission.NanoDuration;
 import lupinwood.log.Log;
 import lupinwood.processing.RequestProcessor;
+import lupinwood.processing.TableLimits;
 import lupinwood.processing.TimerService;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -383,7 +384,7 @@
                         AdmissionController::new,
                         new RequestProcessor.Ports(null, null, null, log::line),
                         deadlines,
-                        new RequestProcessor.TableLimits(1, 1, 1, 1),
+                        new TableLimits(1, 1, 1, 1),
                         eventLoop.time());
         CompletableFuture<NanoDuration> behind = new CompletableFuture<>();
         MonotonicTime begun = eventLoop.time();
--- a/src/test/java/lupinwood/processing/ExecutorRecoveryTest.java
+++ b/src/test/java/lupinwood/processing/ExecutorRecoveryTest.java
@@ -22,8 +22,16 @@
  * one for the reply to that.
  */
 final class ExecutorRecoveryTest {
-    /** How much of everything happens in one search. */
-    private record Bounds(int requests, int calls, int connections, int queries) {}
+    /**
+     * How much of everything happens in one search.
+     *
+     * @param endsEarly whether requests are answered without a result and clients leave
+     */
+    private record Bounds(
+            int requests, int calls, int connections, int queries, boolean endsEarly) {}
+
+    /** After so many rounds without a disruption every request has ended. */
+    private static final int MAX_ROUNDS = 10;
 
     /** One step that is possible now. */
     private record Step(String name, Runnable action) {}
@@ -80,16 +88,25 @@
             } else if (connections < bounds.connections()) {
                 steps.add(new Step("break", this::breakConnection));
             }
+            if (executor.timers.size() > 0 && started.stream().noneMatch(executor::isOpen)) {
+                steps.add(new Step("clients no longer wait", executor::fireTimer));
+            }
             started.forEach(id -> addStepsOf(id, steps));
             return steps;
         }
 
         private void addStepsOf(AttemptId id, List<Step> steps) {
-            if (executor.isCallPending(id)) {
+            if (executor.isOpen(id) && executor.isCallPending(id)) {
                 steps.add(new Step("reply", () -> executor.reply(id)));
             }
-            if (executor.phase(id) == Phase.ON_CORE) {
+            if (bounds.endsEarly() && executor.isOpen(id)) {
+                steps.add(new Step("fail", () -> executor.fail(id)));
+                steps.add(new Step("abort", () -> executor.abort(id)));
+            }
+            if (mayEnd(id)) {
                 steps.add(new Step("end", () -> executor.end(id)));
+            }
+            if (executor.phase(id) == Phase.WORKING && !executor.isOver(id)) {
                 if (executor.calls(id) < bounds.calls()) {
                     steps.add(new Step("call", () -> executor.call(id)));
                 }
@@ -119,24 +136,41 @@
             if (!executor.isConnected()) {
                 executor.connect();
             }
-            for (int round = 0; round < 50 && executor.requests.size() > 0; round++) {
+            for (int round = 0; round < MAX_ROUNDS && executor.requests.size() > 0; round++) {
                 executor.exchangeAll();
                 started.forEach(this::goOn);
                 executor.query();
                 executor.exchangeAll();
-                if (executor.timers.size() > 0) {
-                    executor.fireTimer();
+                if (round
+                        > bounds.calls()
+                                + 1) { // whoever has no result by now is answered without one
+                    started.stream().filter(executor::isOpen).forEach(executor::fail);
+                    passClientTimeout();
                 }
             }
         }
 
+        private void passClientTimeout() {
+            if (executor.timers.size() > 0) {
+                executor.fireTimer();
+            } else {
+                executor.passClientTimeout();
+            }
+        }
+
         private void goOn(AttemptId id) {
-            if (executor.isCallPending(id)) {
-                executor.reply(id);
-            } else if (executor.phase(id) == Phase.ON_CORE) {
+            if (mayEnd(id)) {
                 executor.end(id);
+            } else if (executor.isOpen(id) && executor.isCallPending(id)) {
+                executor.reply(id);
             }
         }
+
+        /** A run ends where it works, or at a call if its request is over. */
+        private boolean mayEnd(AttemptId id) {
+            return executor.phase(id) == Phase.WORKING
+                    || (executor.phase(id) == Phase.AT_CALL && executor.isOver(id));
+        }
     }
 
     private static Play replay(Bounds bounds, String className, Path path) {
@@ -175,13 +209,25 @@
 
     @Test
     void noOrderRunsARequestWithAnEffectTwiceOrGivesAReplyTwice() {
-        int states = search(new Bounds(1, 2, 3, 2), "effect");
+        int states = search(new Bounds(1, 2, 3, 2, false), "effect");
         assertThat(states).isGreaterThan(1000);
     }
 
     @Test
     void noOrderOfTwoRequestsRunsOneTwice() {
-        int states = search(new Bounds(2, 0, 3, 2), "token");
+        int states = search(new Bounds(2, 0, 3, 2, false), "token");
+        assertThat(states).isGreaterThan(1000);
+    }
+
+    @Test
+    void noOrderWithRequestsThatEndEarlyRunsOneTwiceOrGivesAReplyTwice() {
+        int states = search(new Bounds(1, 2, 3, 1, true), "effect");
+        assertThat(states).isGreaterThan(1000);
+    }
+
+    @Test
+    void noOrderOfTwoRequestsThatEndEarlyRunsOneTwice() {
+        int states = search(new Bounds(2, 0, 2, 1, true), "token");
         assertThat(states).isGreaterThan(1000);
     }
 }
--- a/src/test/java/lupinwood/processing/RandomSettingsTest.java
+++ b/src/test/java/lupinwood/processing/RandomSettingsTest.java
@@ -160,7 +160,7 @@
                         AdmissionController::new,
                         new RequestProcessor.Ports(this, this, this, log::add),
                         timers,
-                        new RequestProcessor.TableLimits(64, 1024, 1024, 1 << 20),
+                        new TableLimits(64, 1024, 1024, 1 << 20),
                         now);
         processor.onExecutorConnected(false, NanoDuration.ZERO);
         processor.settle();
--- a/src/test/java/lupinwood/processing/RequestProcessorTest.java
+++ b/src/test/java/lupinwood/processing/RequestProcessorTest.java
@@ -79,7 +79,7 @@
                         AdmissionController::new,
                         new RequestProcessor.Ports(this, this, this, this::log),
                         timers,
-                        new RequestProcessor.TableLimits(connections, 40, 64, idempotencyBytes),
+                        new TableLimits(connections, 40, 64, idempotencyBytes),
                         now);
         currentConnection = processor.addConnection();
     }
@@ -625,6 +625,7 @@
                         """
                 0 run 1 a
                 0 run 2 b
+                0 log executor connection recovered connection=1 runsInDoubt=1 repliesInDoubt=0
                 0 run 1 a
                 0 run 2 b
                 0 run 3 c; not connected
@@ -633,41 +634,60 @@
                 """);
     }
 
+    /**
+     * Guards against a second run of a request with an effect. The resource usage counts no run,
+     * but it does not count one that waits for a disk either, and the run may have ended since. The
+     * request gets its one answer in time. Once its client no longer waits the executor starts no
+     * run any more, so that the command can tell whether the first one was read.
+     */
     @Test
-    void commandInDoubtIsResentOnlyOnceResourceUsageProvesItUnread() {
+    void runInDoubtIsSentAgainOnlyOnceItsClientNoLongerWaits() {
         start();
-        wantingCore = 1;
+        wantingCore = 0;
         long idempotent = arrive("token", "k", "a");
         handle(() -> processor.onExecutorConnected(false, NanoDuration.ZERO));
-        advanceMillis(20);
-        wantingCore = 0;
-        advanceMillis(20);
-        needCall(idempotent);
+        advanceMillis(6000);
+        completeRun(idempotent, Completion.NOTHING_STARTED, "");
+        assertThat(processor.stateLogLine()).contains(" requests=0 ");
+        currentConnection = processor.addConnection();
+        arrive("token", "k", "a");
+        assertThat(recorded())
+                .isEqualTo(
+                        """
+                0 run 1 a
+                0 log executor connection recovered connection=1 runsInDoubt=1 repliesInDoubt=0
+                4998 1 FAILED
+                5250 run 1 a
+                6000 run 2 a
+                """);
+    }
+
+    /**
+     * Guards against a reply that a run takes for the reply to its next call: a reply in doubt is
+     * never given again, whatever the resource usage says.
+     */
+    @Test
+    void replyInDoubtIsNotSentAgain() {
+        start();
+        long unsafe = arrive("side_effect", null, "a");
+        needCall(unsafe);
         handle(
                 () ->
                         processor.callEnded(
-                                id(idempotent),
-                                Completion.WELL,
-                                "r".getBytes(StandardCharsets.UTF_8)));
-        wantingCore = 1;
-        handle(() -> processor.onExecutorConnected(false, NanoDuration.ZERO));
-        advanceMillis(20);
+                                id(unsafe), Completion.WELL, "r".getBytes(StandardCharsets.UTF_8)));
         wantingCore = 0;
-        advanceMillis(20);
-        wantingCore = 1;
-        advanceMillis(20);
         handle(() -> processor.onExecutorConnected(false, NanoDuration.ZERO));
-        completeRun(idempotent, Completion.WELL, "result");
+        advanceMillis(100);
+        handle(() -> processor.onExecutorConnected(false, NanoDuration.ZERO));
+        completeRun(unsafe, Completion.WELL, "result");
         assertThat(recorded())
                 .isEqualTo(
                         """
                 0 run 1 a
-                24 log resent commands lost with the executor connection count=1
-                24 run 1 a
-                40 call for 1 q
-                40 reply for 1 r
-                64 log resent commands lost with the executor connection count=1
-                64 reply for 1 r
+                0 call for 1 q
+                0 reply for 1 r
+                0 log executor connection recovered connection=1 runsInDoubt=0 repliesInDoubt=1
+                100 log executor connection recovered connection=2 runsInDoubt=0 repliesInDoubt=1
                 100 1 SERVED result
                 """);
     }
@@ -997,7 +1017,7 @@
                                         () -> {}),
                         new RequestProcessor.Ports(this, this, this, this::log),
                         timers,
-                        new RequestProcessor.TableLimits(4, 40, 64, 8192),
+                        new TableLimits(4, 40, 64, 8192),
                         now);
         currentConnection = processor.addConnection();
         processor.onExecutorConnected(false, NanoDuration.ZERO);
@@ -1125,6 +1145,7 @@
                 0 run 1 a
                 0 call for 1 q
                 0 skip call for 1
+                0 log executor connection recovered connection=1 runsInDoubt=0 repliesInDoubt=1
                 0 1 SERVED poorer
                 0 run 2 b
                 0 call for 2 q
--- a/src/test/java/lupinwood/processing/SimulatedExecutor.java
+++ b/src/test/java/lupinwood/processing/SimulatedExecutor.java
@@ -11,8 +11,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import lupinwood.admission.MonotonicTime;
+import lupinwood.admission.NanoDuration;
 import lupinwood.admission.RecordingServer;
-import lupinwood.admission.ResourceUsage;
 import lupinwood.admission.SettingsMap;
 import lupinwood.admission.SubjectId;
 import lupinwood.admission.UpstreamId;
@@ -29,16 +29,14 @@
 final class SimulatedExecutor implements Executor {
     /** Where a run is. */
     enum Phase {
-        /** It uses or waits for a core, and the resource usage counts it. */
-        ON_CORE,
-        /** It waits for a disk, and the resource usage does not count it. */
-        ON_DISK,
+        /** It works, or waits for a core or a disk. */
+        WORKING,
         /** It waits for the reply to its call. */
         AT_CALL
     }
 
     private static final class Run {
-        Phase phase = Phase.ON_CORE;
+        Phase phase = Phase.WORKING;
         int calls;
     }
 
@@ -57,9 +55,10 @@
 
         record CallNeeded(int number, AttemptId id, int call) implements Message {}
 
-        record Usage(long tag, int wantingCore) implements Message {}
+        record Usage(long tag) implements Message {}
     }
 
+    private static final NanoDuration CLIENT_TIMEOUT = NanoDuration.ofSeconds(5);
     private static final MonotonicTime START = new MonotonicTime(1_000_000_000_000L);
 
     final TimerService timers = new TimerService();
@@ -81,6 +80,7 @@
     private final Map<AttemptId, Run> runs =
             new TreeMap<>((a, b) -> a.digits().compareTo(b.digits()));
     private final Map<AttemptId, Integer> starts = new HashMap<>();
+    private final Set<AttemptId> over = new HashSet<>();
     private final Map<String, Integer> repliesRead = new TreeMap<>();
     private int lastNumberRead;
     private boolean connected = true;
@@ -113,7 +113,12 @@
                         0.5,
                         null,
                         new byte[0]);
-        ActiveRequest request = new ActiveRequest(new ConnectionId(0), number, incomingRequest);
+        ActiveRequest request =
+                new ActiveRequest(
+                        new ConnectionId(0),
+                        number,
+                        incomingRequest,
+                        clock.now().plus(CLIENT_TIMEOUT));
         requests.add(request);
         requests.markStarted(request);
         session.run(request);
@@ -144,12 +149,48 @@
         session.askResourceUsage();
     }
 
-    /** Moves the clock to the first timer and fires it. */
+    /** The node answers a request without a result. The executor does not know of it yet. */
+    void fail(AttemptId id) {
+        requests.find(id).answered = true;
+    }
+
+    /** The client no longer waits, which the executor knows, and the node reads its abort. */
+    void abort(AttemptId id) {
+        over.add(id);
+        ActiveRequest request = requests.find(id);
+        request.answered = true;
+        session.onAborted(request);
+    }
+
+    /** Whether the node has not answered a request yet. */
+    boolean isOpen(AttemptId id) {
+        ActiveRequest request = requests.find(id);
+        return request != null && !request.answered;
+    }
+
+    /**
+     * Moves the clock to the first timer and fires it. Requests whose clients no longer wait by
+     * then are over for the executor.
+     */
     void fireTimer() {
         clock.advance(timers.earliest());
+        endRequestsOfClientsThatLeft();
+        timers.runDue(clock.now());
+    }
+
+    /** Moves the clock past the time that clients wait. */
+    void passClientTimeout() {
+        clock.advance(clock.now().plus(CLIENT_TIMEOUT));
+        endRequestsOfClientsThatLeft();
         timers.runDue(clock.now());
     }
 
+    private void endRequestsOfClientsThatLeft() {
+        requests.started().stream()
+                .filter(request -> !clock.now().isBefore(request.clientWaitsUntil))
+                .forEach(request -> over.add(request.incomingRequest.attemptId()));
+    }
+
     // ---- steps of the executor and its connection ----
 
     /** Whether the executor has a command to read. */
@@ -165,9 +206,7 @@
         } else if (command instanceof Command.Reply reply) {
             onReply(reply);
         } else if (command instanceof Command.Query query) {
-            long wantingCore =
-                    runs.values().stream().filter(run -> run.phase == Phase.ON_CORE).count();
-            toNode.add(new Message.Usage(query.tag(), (int) wantingCore));
+            toNode.add(new Message.Usage(query.tag()));
         }
     }
 
@@ -175,6 +214,10 @@
         if (runs.containsKey(id)) {
             return; // for a request that runs already nothing happens
         }
+        if (over.contains(id)) {
+            send(new Message.RunEnded(numbered.size() + 1, id, Completion.NOTHING_STARTED));
+            return;
+        }
         if (starts.merge(id, 1, Integer::sum) > 1) {
             violations.add("started twice: " + id.digits());
         }
@@ -191,7 +234,7 @@
             if (run.calls != reply.call()) {
                 violations.add("reply given to call " + run.calls + ": " + call);
             }
-            run.phase = Phase.ON_CORE;
+            run.phase = Phase.WORKING;
         }
     }
 
@@ -207,9 +250,7 @@
             welcomed = true;
             session.onConnectionRestored();
         } else if (message instanceof Message.Usage usage) {
-            session.onResourceUsage(
-                    usage.tag(),
-                    new ResourceUsage(Double.NaN, usage.wantingCore(), Double.NaN, Double.NaN));
+            session.onResourceUsage(usage.tag());
         } else if (message instanceof Message.RunEnded ended) {
             if (ended.number() > lastNumberRead) {
                 lastNumberRead = ended.number();
@@ -244,12 +285,7 @@
         return runs.get(id).calls;
     }
 
-    /** Moves a run that is on a core to a disk, or back. */
-    void moveTo(AttemptId id, Phase phase) {
-        runs.get(id).phase = phase;
-    }
-
-    /** A run on a core makes a call. */
+    /** A run makes a call. */
     void call(AttemptId id) {
         Run run = runs.get(id);
         run.phase = Phase.AT_CALL;
@@ -300,6 +336,13 @@
         }
     }
 
+    /**
+     * Whether a request is over for the executor: it starts no run of it and ends one at a call.
+     */
+    boolean isOver(AttemptId id) {
+        return over.contains(id);
+    }
+
     /** How often a request was started. */
     int starts(AttemptId id) {
         return starts.getOrDefault(id, 0);
@@ -367,13 +410,15 @@
             state.append(request.tag)
                     .append(request.runDelivery)
                     .append(request.callBody != null)
-                    .append(request.answered);
+                    .append(request.answered)
+                    .append(request.aborted);
             if (request.unconfirmedReply != null) {
                 state.append(request.unconfirmedReply.delivery);
             }
         }
         runs.forEach((id, run) -> state.append(id.digits()).append(run.phase).append(run.calls));
         return state.append(starts)
+                .append(over)
                 .append(repliesRead)
                 .append(toExecutor)
                 .append(toNode)
