Keep one timer for a run that waits for a server, and look for probes later than now

Cause: AjpExecutor.send set a timer each time that a run had to wait, and cancelled none; a waiting run is offered again whenever an attempt ends. ServerPool.nextProbeAt could name a time that has passed, so that the event loop offered them in each round as well.

Change: one timer a run, cancelled when it is sent or ends; the next look for a probe is later than now.

--- a/src/main/java/lupinwood/balancing/ServerPool.java
+++ b/src/main/java/lupinwood/balancing/ServerPool.java
@@ -407,16 +407,17 @@
     }
 
     /**
-     * The earliest time at which an ejected server that isn't cordoned may be probed, or, if the
-     * health checker doesn't allow that now, at which to ask it again; {@link MonotonicTime#NEVER}
-     * if there is no such server.
+     * The earliest time at which an ejected server that isn't cordoned may be probed; {@link
+     * MonotonicTime#NEVER} if there is no such server. If that time has passed, none of the
+     * requests that wait may go there or the health checker does not allow it, and this is when to
+     * look again: always a later time than now.
      */
     public MonotonicTime nextProbeAt(MonotonicTime now) {
         return states.stream()
                 .filter(state -> state.readmitAt != null && !state.isCordoned)
                 .map(
                         state ->
-                                now.isBefore(state.readmitAt) || canReadmit(state, now)
+                                now.isBefore(state.readmitAt)
                                         ? state.readmitAt
                                         : now.plus(HEALTH_CHECK_POLL_INTERVAL))
                 .min(MonotonicTime::compareTo)
--- a/src/main/java/lupinwood/net/AjpExecutor.java
+++ b/src/main/java/lupinwood/net/AjpExecutor.java
@@ -65,6 +65,9 @@
         final MonotonicTime began;
         final List<Integer> tried = new ArrayList<>();
 
+        /** Ends the run if no server may have it in time; null while it does not wait. */
+        private TimerService.Timer waitTimer;
+
         Run(AttemptId id, String className, byte[] body, MonotonicTime began) {
             this.id = id;
             this.className = className;
@@ -204,28 +207,37 @@
     private void send(Run run) {
         int server = open < mostOpen || resting() != null ? choose(run) : -1;
         if (server >= 0) {
+            stopWaitTimer(run);
             run.tried.add(server);
             begin(run, server);
         } else if (waiting.size() >= MOST_WAITING) {
-            processor.onRunCompleted(run.id, Completion.NOTHING_STARTED, NanoDuration.ZERO, null);
+            endUnsent(run);
         } else {
             waiting.add(run);
-            context.deadlines()
-                    .schedule(
-                            run.began.plus(timeout.get(run.className)),
-                            () -> {
-                                if (waiting.remove(run)) {
-                                    processor.onRunCompleted(
-                                            run.id,
-                                            Completion.NOTHING_STARTED,
-                                            NanoDuration.ZERO,
-                                            null);
-                                }
-                            });
+            if (run.waitTimer == null) {
+                MonotonicTime timesOutAt = run.began.plus(timeout.get(run.className));
+                run.waitTimer = context.deadlines().schedule(timesOutAt, () -> timeOut(run));
+            }
             watchForBack();
         }
     }
 
+    private void timeOut(Run run) {
+        if (waiting.remove(run)) {
+            endUnsent(run);
+        }
+    }
+
+    private void endUnsent(Run run) {
+        stopWaitTimer(run);
+        processor.onRunCompleted(run.id, Completion.NOTHING_STARTED, NanoDuration.ZERO, null);
+    }
+
+    private void stopWaitTimer(Run run) {
+        context.deadlines().cancel(run.waitTimer);
+        run.waitTimer = null;
+    }
+
     /** A connection that carries no request, or null. */
     private ServerConnection resting() {
         return servers.stream()
--- a/src/test/java/lupinwood/balancing/ServerPoolTest.java
+++ b/src/test/java/lupinwood/balancing/ServerPoolTest.java
@@ -157,6 +157,25 @@
         assertThat(probes).as("of 600 requests in a minute").isLessThan(30);
     }
 
+    /**
+     * Guards against an event loop that never rests: a server may be probed, but none of the
+     * requests that wait may go there, so the time at which to look again must not have passed
+     * already.
+     */
+    @Test
+    void probeThatNothingMayMakeIsLookedForAgainLater() {
+        for (int i = 0; i < 200; i++) {
+            int server = pool.acquireServer(now, List.of());
+            if (server >= 0) {
+                pool.onAttemptEnded(
+                        server, ServerPool.AttemptCompletion.FAILED, NanoDuration.ZERO, false, now);
+            }
+        }
+        advance(60);
+        assertThat(pool.acquireServer(now, List.of(), server -> false)).isNegative();
+        assertThat(pool.nextProbeAt(now)).isGreaterThan(now);
+    }
+
     @Test
     void limitsHoldAndTriedServersAreChosenLast() {
         int sent = 0;
