Read on where a request is open, and tell an upstream before its connection is not read

Cause: a message incomplete for 1.5 s ended reading unless the connection was trusted, which it becomes only when a run of it has ended or called; nothing told the upstream.

Change: with a request open a message may be finished until the longest timeout.

--- a/src/main/java/lupinwood/processing/ConnectionTable.java
+++ b/src/main/java/lupinwood/processing/ConnectionTable.java
@@ -385,21 +385,32 @@
     /**
      * Returns whether an incomplete message may still be finished; the first call for a message
      * records since when it is incomplete. An upstream load balancer may write slowly, and its
-     * client may wait for the response until the longest timeout has passed.
+     * client may wait for the response until the longest timeout has passed. So may one whose first
+     * request is still open, although nothing has made its connection trusted yet: to stop reading
+     * then would leave the whole requests behind the slow one without a response.
      */
     private boolean mayStillFinish(Connection connection) {
         if (connection.incompleteSince == null) {
             connection.incompleteSince = clock.get();
         }
-        return connection.trusted
-                && clock.get().isBefore(connection.incompleteSince.plus(longestTimeout));
+        boolean mayBeSlow = connection.trusted || !connection.openByTag.isEmpty();
+        return mayBeSlow && clock.get().isBefore(connection.incompleteSince.plus(longestTimeout));
     }
 
-    /** Stops reading, and closes the connection once its open requests are answered. */
+    /**
+     * Stops reading, and closes the connection once its open requests are answered. If there are
+     * such, an upstream that still speaks the protocol is asked first to send no more requests,
+     * because they would be left without a response.
+     */
     private void beginClose(Connection connection, Completion closeReason) {
         if (connection.closing) {
             return;
         }
+        boolean stillSends =
+                closeReason != Completion.CLOSED_BY_PEER && closeReason != Completion.MALFORMED;
+        if (stillSends && !connection.openByTag.isEmpty()) {
+            requestClose(connection);
+        }
         connection.closing = true;
         connection.closeReason = closeReason;
         upstreams.stopReading(connection.id);
--- a/src/test/java/lupinwood/processing/RequestProcessorTest.java
+++ b/src/test/java/lupinwood/processing/RequestProcessorTest.java
@@ -863,6 +863,61 @@
                 """);
     }
 
+    /**
+     * Guards against whole requests without a response: an upstream writes a request slowly and
+     * another one behind it, while its first request is open and its connection not trusted yet. A
+     * connection that is not read any more would swallow both.
+     */
+    @Test
+    void connectionWithOpenRequestMayFinishMessage() {
+        start();
+        processor.closeIdleConnections(NanoDuration.ofSeconds(100));
+        currentConnection = processor.addConnection();
+        long first = arrive("pure", null, "a");
+        processor.onMessageIncomplete(currentConnection);
+        advanceMillis(1500);
+        processor.onMessageIncomplete(currentConnection);
+        advanceMillis(500);
+        long slow = arrive("pure", null, "b");
+        long behind = arrive("pure", null, "c");
+        completeRun(first, Completion.WELL, "r");
+        completeRun(slow, Completion.WELL, "s");
+        completeRun(behind, Completion.WELL, "t");
+        assertThat(recorded())
+                .isEqualTo(
+                        """
+                0 run 1 a
+                2000 run 2 b
+                2000 1 SERVED r
+                2000 run 3 c
+                2000 2 SERVED s
+                2000 3 SERVED t
+                """);
+    }
+
+    /**
+     * Guards against an upstream that goes on sending to a connection that is not read any more: it
+     * is told so while a request is still open there, and what it had sent before is answered.
+     */
+    @Test
+    void upstreamIsAskedToCloseAConnectionThatStopsBeingRead() {
+        start();
+        currentConnection = processor.addConnection();
+        long open = arrive("pure", null, "a");
+        arrive("no such class", null, "b");
+        completeRun(open, Completion.WELL, "r");
+        assertThat(recorded())
+                .isEqualTo(
+                        """
+                0 run 1 a
+                0 log request failed reason=unknown_request_class
+                0 2 FAILED
+                0 ask to close
+                0 1 SERVED r
+                0 close 1 UNSOUND
+                """);
+    }
+
     @Test
     void failedCallsAreRetriedOnlyIfProvedNotToHaveRun() {
         start();
