--- a/src/main/java/lupinwood/processing/ConnectionTable.java
+++ b/src/main/java/lupinwood/processing/ConnectionTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +11,7 @@
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
 import lupinwood.admission.RequestId;
+import lupinwood.processing.Connection.IdleState;
 
 /**
  * The connections of upstream load balancers: the open requests of each, which connections have
@@ -53,60 +53,6 @@
     /** How long after a close request earlier requests may arrive, because a host may pause. */
     private static final NanoDuration MAX_CROSSING_TIME = NanoDuration.ofSeconds(2);
 
-    /** The states of a connection without open requests, each ordered by when it was entered. */
-    private enum IdleState {
-        /** Its last responses and the end of the stream have been sent. */
-        FLUSHED,
-        /** It has not sent a message yet. */
-        SILENT,
-        CLOSE_REQUESTED,
-        IDLE,
-        /** Its last responses are being sent. */
-        FLUSHING
-    }
-
-    private static final class Connection {
-        ConnectionId id;
-        final Map<Long, RequestId> openByTag = new HashMap<>();
-        TimerService.Timer idleTimer;
-        MonotonicTime idleSince;
-
-        /** Null while a request is open on the connection. */
-        IdleState idleState;
-
-        boolean hasSentMessage;
-
-        /** How many silence intervals have passed without a message. */
-        int silentIntervals;
-
-        boolean trusted;
-        int invalidSinceRun;
-        int unservedRequests;
-        MonotonicTime openedAt;
-
-        /** Since when a message is known to be incomplete; null if none is known to be. */
-        MonotonicTime incompleteSince;
-
-        /** When the upstream was asked to close it; null if it was not. */
-        MonotonicTime closeRequestedAt;
-
-        boolean closing;
-        boolean flushed;
-        Completion closeReason;
-
-        IdleState currentIdleState() {
-            return !openByTag.isEmpty()
-                    ? null
-                    : closing
-                            ? flushed ? IdleState.FLUSHED : IdleState.FLUSHING
-                            : !hasSentMessage
-                                    ? IdleState.SILENT
-                                    : closeRequestedAt != null
-                                            ? IdleState.CLOSE_REQUESTED
-                                            : IdleState.IDLE;
-        }
-    }
-
     private final SlotTable<Connection> table;
     private final Map<IdleState, Set<Connection>> idleConnections = new EnumMap<>(IdleState.class);
 
