--- a/src/main/java/lupinwood/net/ExecutorClient.java
+++ b/src/main/java/lupinwood/net/ExecutorClient.java
@@ -120,17 +120,17 @@
             link = given.before;
             given.before = null;
         }
-        abandonHandOver();
+        cancelHandOver();
         if (given.outbox() != null) {
             given.outbox().closeNow();
         }
     }
 
     /** The current connection takes commands again, if it was about to be replaced. */
-    private void abandonHandOver() {
+    private void cancelHandOver() {
         if (link != null && link.handovers != 0) {
             link.handovers = 0;
-            processor.onExecutorHandOverAbandoned();
+            processor.onExecutorHandOverFailed();
         }
     }
 
@@ -248,7 +248,7 @@
                 context.log().line("no link to the executor: " + ending);
             }
             if (this == newest) {
-                abandonHandOver();
+                cancelHandOver();
                 boolean settled =
                         welcomed && SETTLED.compareTo(processor.now().since(joinedAt)) < 0;
                 again =
--- a/src/main/java/lupinwood/processing/ExecutorSession.java
+++ b/src/main/java/lupinwood/processing/ExecutorSession.java
@@ -286,7 +286,7 @@
      * Handles a connection that takes commands again after a hand-over to another one failed.
      * Nothing written before is lost, but commands given meanwhile were not written.
      */
-    void onHandOverAbandoned() {
+    void onHandOverFailed() {
         if (!awaitsRecovery) {
             writeUnread();
         }
--- a/src/main/java/lupinwood/processing/RequestProcessor.java
+++ b/src/main/java/lupinwood/processing/RequestProcessor.java
@@ -269,8 +269,8 @@
      * Handles an executor connection that takes commands again after one that should have replaced
      * it failed. Commands that could not be written meanwhile are written now.
      */
-    public void onExecutorHandOverAbandoned() {
-        session.onHandOverAbandoned();
+    public void onExecutorHandOverFailed() {
+        session.onHandOverFailed();
     }
 
     /** Whether the executor connected warm, or connected and was started at least this long ago. */
