--- a/review/kit-2/Withdrawn.java
+++ b/review/kit-2/Withdrawn.java
@@ -20,7 +20,7 @@
     private static final int CONNECTIONS = 10;
     private static final int AT_ONCE = 32;
     /** Between two bursts of a connection; the pages say full speed, this is slower. */
-    private static final long PAUSE_MS = 50;
+    private static final long PAUSE_MS = 20;
 
     private static final long TROUBLE_MS = 30_000;
 
