--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,5 @@
     echo "build first: the deploy file's build, then review/build-2.sh" >&2
     exit 2
 }
-exec java -Xmx256m -cp target/review-2 Withdrawn . review/6
+# One connection, ten times a second, with the longest body of the page.
+exec java -Xmx256m -cp target/review-2 Withdrawn . review/6 rueda-uy unlock 2048 1 100
--- a/review/kit-2/Dispatcher.java
+++ b/review/kit-2/Dispatcher.java
@@ -34,8 +34,8 @@
     private final Map<String, Try> open = new ConcurrentHashMap<>();
     private final Map<String, Try> all;
     private long tag;
-    volatile boolean finished;
-    volatile boolean ended;
+    private volatile boolean finished;
+    private volatile boolean ended;
 
     /** All tries go into the map too, by their ids. */
     Dispatcher(Kit kit, Work work, int port, Map<String, Try> all) throws IOException {
@@ -51,8 +51,9 @@
         return String.format("%016x", IDS.incrementAndGet());
     }
 
-    int openRequests() {
-        return open.size();
+    /** The page's most on one connection, and nothing new once the node has asked for that. */
+    boolean takesMore() {
+        return !finished && !ended && open.size() < 32;
     }
 
     synchronized Try send(String className, String tenant, byte[] body, String key)
--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -141,15 +141,51 @@
     record Service(
             String name, String effect, long aimMs, long giveUpMs, long windowMs, boolean calls) {}
 
-    /** The three classes of rueda-uy, with its figures. */
-    static List<Service> rueda() {
-        return List.of(
-                new Service("fare-quote", "pure", 2700, 9000, 5000, true),
-                new Service("trip-history", "pure", 2700, 9000, 5000, false),
-                new Service("unlock", "token", 1800, 4300, 13020, true));
+    /** A deployment: its classes, its tenants with their quotas, and what differs in two sections. */
+    record Site(
+            List<Service> services,
+            Map<String, Double> tenants,
+            Map<String, String> domain,
+            String rules) {
+        Service service(String name) {
+            return services.stream().filter(one -> one.name().equals(name)).findFirst().orElseThrow();
+        }
+    }
+
+    /** One node of rueda-uy, with its figures. */
+    static Site rueda() {
+        return new Site(
+                List.of(
+                        new Service("fare-quote", "pure", 2700, 9000, 5000, true),
+                        new Service("trip-history", "pure", 2700, 9000, 5000, false),
+                        new Service("unlock", "token", 1800, 4300, 13020, true)),
+                new java.util.TreeMap<>(
+                        Map.of("montevideo", 54.0, "canelones", 50.0, "maldonado", 43.0, "salto", 34.0)),
+                Map.of(),
+                "\"drain_grace_ns\":1800000000,\"fall_multiple\":6.0,\"fall_ns\":2000000000,"
+                        + "\"answer_slack_ns\":60000000,\"cold_share\":0.2,\"ramp_time_ns\":18000000000");
     }
 
-    /** The platform's JSON, with the figures of rueda-uy; changes go by the entry's path. */
+    /** One node of prairie-scans, with its figures. */
+    static Site prairieScans() {
+        return new Site(
+                List.of(
+                        new Service("tile-view", "pure", 2700, 10000, 5000, true),
+                        new Service("label-read", "pure", 2700, 8600, 5000, true),
+                        new Service("derivative-build", "pure", 3400, 14000, 5000, true),
+                        new Service("accession-commit", "side_effect", 4100, 14000, 5000, true)),
+                new java.util.TreeMap<>(
+                        Map.of(
+                                "aspen-parkland", 22.0, "south-sask", 18.0, "red-river", 16.0,
+                                "cypress-hills", 15.0, "qu-appelle", 8.0, "souris-valley", 5.0)),
+                Map.of(
+                        "below", "\"tier\"", "cpus", "2", "memory_kb", "14000.0",
+                        "class_skip_worth", "[0.6,0.6,0.6,0.0]", "stop_mode", "\"freeze\""),
+                "\"drain_grace_ns\":2000000000,\"fall_multiple\":5.0,\"fall_ns\":1500000000,"
+                        + "\"answer_slack_ns\":100000000,\"cold_share\":0.2,\"ramp_time_ns\":17000000000");
+    }
+
+    /** The platform's JSON for one node of a deployment. */
     static String json(
             String name,
             int listen,
@@ -157,8 +193,7 @@
             int index,
             int naming,
             long stopMs,
-            List<Service> services,
-            Map<String, String> changes) {
+            Site site) {
         Map<String, String> domain = new LinkedHashMap<>();
         domain.put("advert", "\"allowance\"");
         domain.put("below", "\"one_for_all\"");
@@ -183,7 +218,7 @@
         StringBuilder calls = new StringBuilder();
         StringBuilder skips = new StringBuilder();
         StringBuilder list = new StringBuilder();
-        for (Service one : services) {
+        for (Service one : site.services()) {
             String comma = list.length() > 0 ? "," : "";
             calls.append(comma).append(one.calls());
             skips.append(comma).append("0.0");
@@ -197,7 +232,14 @@
         }
         domain.put("class_calls", "[" + calls + "]");
         domain.put("class_skip_worth", "[" + skips + "]");
-        domain.putAll(changes);
+        domain.putAll(site.domain());
+        StringBuilder tenants = new StringBuilder();
+        site.tenants()
+                .forEach(
+                        (tenant, quota) ->
+                                tenants.append(tenants.length() > 0 ? "," : "")
+                                        .append("{\"name\":\"" + tenant + "\",\"quota_rps\":" + quota)
+                                        .append(",\"share\":" + 1.0 / site.tenants().size() + "}"));
         StringBuilder texts = new StringBuilder();
         domain.forEach(
                 (key, value) ->
@@ -210,18 +252,12 @@
                 + ",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":" + stopMs
                 + ",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":512}"
                 + ",\"settings\":{\"step_ns\":4000000,\"group_size\":10,\"over_share_worth\":0.05"
-                + ",\"customers\":["
-                + "{\"name\":\"montevideo\",\"quota_rps\":54.0,\"share\":0.297},"
-                + "{\"name\":\"canelones\",\"quota_rps\":50.0,\"share\":0.277},"
-                + "{\"name\":\"maldonado\",\"quota_rps\":43.0,\"share\":0.238},"
-                + "{\"name\":\"salto\",\"quota_rps\":34.0,\"share\":0.188}]"
+                + ",\"customers\":[" + tenants + "]"
                 + ",\"services\":[" + list + "]"
                 + ",\"domain\":{" + texts + "}"
                 + ",\"goal\":{\"whole\":0.45,\"worst_class\":0.3,\"worst_tenant\":0.1,\"worst_window\":0.15}"
                 + ",\"bounds\":{\"max_retry_after_ns\":1000000000,\"retry_after\":true}"
-                + ",\"rules\":{\"answer_slack_ns\":60000000,\"cold_share\":0.2,"
-                + "\"drain_grace_ns\":1800000000,\"fall_multiple\":6.0,\"fall_ns\":2000000000,"
-                + "\"ramp_time_ns\":18000000000}}}";
+                + ",\"rules\":{" + site.rules() + "}}}";
     }
 
     // ---- wires ----
