--- a/review/kit-2/Dispatcher.java
+++ b/review/kit-2/Dispatcher.java
@@ -21,10 +21,32 @@
         volatile long answeredAt;
         volatile String word;
         volatile String result;
+        volatile boolean withdrawn;
+        private final Dispatcher on;
+        private final String tag;
 
-        Try(Work.Sent request, long sentAt) {
+        Try(Work.Sent request, long sentAt, Dispatcher on, String tag) {
             this.request = request;
             this.sentAt = sentAt;
+            this.on = on;
+            this.tag = tag;
+        }
+
+        /**
+         * Whether the page has the dispatcher send it again: it was written no more than 50 ms before
+         * the connection ended, or when the wish to close had been read.
+         */
+        boolean crossedItsEnd() {
+            return (on.endedAt > 0 && on.endedAt - sentAt <= 50)
+                    || (on.finishedAt > 0 && on.finishedAt <= sentAt);
+        }
+
+        /** When its connection was asked to close and ended, from when it was written. */
+        String end() {
+            return "FIN read "
+                    + (on.finishedAt == 0 ? "never" : on.finishedAt - sentAt + " ms later")
+                    + ", connection ended "
+                    + (on.endedAt == 0 ? "never" : on.endedAt - sentAt + " ms later");
         }
     }
 
@@ -36,6 +58,8 @@
     private long tag;
     private volatile boolean finished;
     private volatile boolean ended;
+    private volatile long finishedAt;
+    private volatile long endedAt;
 
     /** All tries go into the map too, by their ids. */
     Dispatcher(Kit kit, Work work, int port, Map<String, Try> all) throws IOException {
@@ -66,7 +90,7 @@
                 "req=" + id + ",ts=" + now + ",via=1,owner=" + tenant + ",need=24.5,level=0.5000"
                         + (key == null ? ",subject=7f3a9c21e0b4d655" : ",opkey=" + key);
         String name = Long.toString(++tag);
-        Try one = new Try(request, now);
+        Try one = new Try(request, now, this, name);
         open.put(name, one);
         all.put(id, one);
         kit.note("sent   " + id + " " + className + (key == null ? "" : " key=" + key));
@@ -81,11 +105,22 @@
         return one;
     }
 
+    /** It stops waiting for the request. */
+    synchronized void abort(Try one) throws IOException {
+        if (open.remove(one.tag) != null) {
+            one.withdrawn = true;
+            kit.note("abort  " + one.request.id);
+            socket.getOutputStream().write(Kit.array(Kit.bytes("ABORT"), Kit.bytes(one.tag)));
+            work.over(one.request.id);
+        }
+    }
+
     private void read() {
         try (InputStream in = new BufferedInputStream(socket.getInputStream())) {
             for (List<byte[]> words = Kit.array(in); words != null; words = Kit.array(in)) {
                 String name = text(words.get(0));
                 if (name.equals("0")) {
+                    finishedAt = System.currentTimeMillis();
                     finished = true;
                     if (open.isEmpty()) {
                         socket.close();
@@ -111,6 +146,7 @@
         } catch (IOException e) {
             // It ended; what is open stays open for the check.
         }
+        endedAt = System.currentTimeMillis();
         ended = true;
     }
 
