Add a review case: a keyed request runs twice after another use of its key

A bad client's request with the key and a time stamp a little ahead takes the place of the record that still stands, and takes the key with it when it is forgotten.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,5 +5,5 @@
     echo "build first: the deploy file's build, then review/build-2.sh" >&2
     exit 2
 }
-# Two connections at full speed, with small bodies.
-exec java -Xmx256m -cp target/review-2 Withdrawn . review/7 prairie-scans derivative-build 16 2 10
+# One connection, ten times a second, with the longest body of the page.
+exec java -Xmx256m -cp target/review-2 Withdrawn . review/7 rueda-uy unlock 2048 1 100
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10, after the build of the deploy file.
+# Builds the stand-ins of the cases 6 to 9, after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/kit-2/Dispatcher.java
+++ b/review/kit-2/Dispatcher.java
@@ -18,6 +18,7 @@
     static final class Try {
         final Work.Sent request;
         final long sentAt;
+        volatile long writtenAt;
         volatile long answeredAt;
         volatile String word;
         volatile String result;
@@ -102,6 +103,7 @@
                                 Kit.bytes(className),
                                 Kit.bytes(fields),
                                 body));
+        one.writtenAt = System.currentTimeMillis();
         return one;
     }
 
