Look for a repeat as of now when its time stamp lies ahead of the clock

A request whose time stamp lies up to 0.25 s ahead of the clock is valid, and IdempotentRequests.findOriginalRecord took the window for over by that stamp. So it replaced the standing record up to 0.19 s before the end of the window; once it was withdrawn or refused its record was forgotten, the key was unknown, and the next attempt ran. The window is now looked up by the stamp or by now, whichever is earlier: nothing can have arrived later than now.

--- a/src/main/java/lupinwood/processing/IdempotentRequests.java
+++ b/src/main/java/lupinwood/processing/IdempotentRequests.java
@@ -71,7 +71,17 @@
     IdempotencyStore.IdempotencyRecord findOriginalRecord(IncomingRequest stampedRequest) {
         return stampedRequest == null
                 ? null
-                : store.find(stampedRequest.idempotencyKey(), stampedRequest.reached());
+                : store.find(stampedRequest.idempotencyKey(), arrivalStamp(stampedRequest));
+    }
+
+    /**
+     * When a request arrived, by the clock that stamps requests: not later than now. Guards against
+     * a time stamp ahead of the clock, with which a repeat within the window would look as if it
+     * came after the window.
+     */
+    private MonotonicTime arrivalStamp(IncomingRequest stampedRequest) {
+        MonotonicTime stampNow = clock.toStamp(clock.now());
+        return stampNow.isBefore(stampedRequest.reached()) ? stampNow : stampedRequest.reached();
     }
 
     /** Whether a request has to be remembered but the store is full; false for null. */
--- a/src/test/java/lupinwood/processing/RequestProcessorFixture.java
+++ b/src/test/java/lupinwood/processing/RequestProcessorFixture.java
@@ -89,13 +89,23 @@
     }
 
     IncomingRequest arrival(long number, String className, String idempotencyKey, String body) {
+        return arrivalAt(number, className, idempotencyKey, body, now);
+    }
+
+    /** Creates a request with this arrival time in its time stamp. */
+    IncomingRequest arrivalAt(
+            long number,
+            String className,
+            String idempotencyKey,
+            String body,
+            MonotonicTime reached) {
         return new IncomingRequest(
                 id(number),
                 className,
                 "acme",
                 new SubjectId(0),
                 new UpstreamId(1),
-                now,
+                reached,
                 10,
                 0.5,
                 idempotencyKey == null ? null : new IdempotencyKey(idempotencyKey),
