Count the window of a request stamped ahead of the clock from its time stamp

IdempotentRequests.remember now adds the lead of the stamp. IdempotencyWindowTest.windowCountsFromATimeStampAheadOfTheClock failed before (950 run 2 a) and passes.

--- a/src/main/java/lupinwood/processing/IdempotentRequests.java
+++ b/src/main/java/lupinwood/processing/IdempotentRequests.java
@@ -98,7 +98,11 @@
             return;
         }
         IncomingRequest incomingRequest = activeRequest.incomingRequest;
-        MonotonicTime windowEndsAt = clock.toStamp(clock.now().plus(window).plus(WINDOW_SLACK));
+        // The window counts from the request's time stamp, the given duration from now.
+        NanoDuration stampLead =
+                incomingRequest.reached().since(clock.now()).max(NanoDuration.ZERO);
+        MonotonicTime windowEndsAt =
+                clock.toStamp(clock.now().plus(window).plus(stampLead).plus(WINDOW_SLACK));
         IdempotencyStore.IdempotencyRecord idempotencyRecord =
                 store.remember(
                         incomingRequest.idempotencyKey(),
--- a/src/main/java/lupinwood/processing/RequestValidator.java
+++ b/src/main/java/lupinwood/processing/RequestValidator.java
@@ -31,11 +31,7 @@
     /** The protocol's exclusive limit for the memory that a request may ask for. */
     private static final int MEMORY_LIMIT_KB = 2000;
 
-    /**
-     * How far an arrival time may be ahead of this clock. Both clocks are on this host. The
-     * idempotency window starts at the time of this clock: with an arrival time further ahead, the
-     * window would end before the arrival times of later repeats, and such a repeat would run.
-     */
+    /** How far an arrival time may be ahead of this clock. Both clocks are on this host. */
     private static final NanoDuration MAX_CLOCK_LEAD = NanoDuration.ofSeconds(0.25);
 
     private final Map<String, Integer> requestClassNumbers = new HashMap<>();
--- a/src/test/java/lupinwood/processing/IdempotencyWindowTest.java
+++ b/src/test/java/lupinwood/processing/IdempotencyWindowTest.java
@@ -49,4 +49,24 @@
                 750 3 SERVED paid
                 """);
     }
+
+    /**
+     * Guards against a second run where the original's own time stamp lay ahead of the clock: its
+     * window counts from that stamp, but was taken to begin when the request was read.
+     */
+    @Test
+    void windowCountsFromATimeStampAheadOfTheClock() {
+        long original = read("a", after(now, 200));
+        handle(() -> {});
+        completeRun(original, Completion.WELL, "paid");
+        advanceMillis(950);
+        arrive("token", "k", "a");
+        assertThat(recorded())
+                .isEqualTo(
+                        """
+                0 run 1 a
+                0 1 SERVED paid
+                950 2 SERVED paid
+                """);
+    }
 }
