Keep the earlier records of an idempotency key when a later one is forgotten

The records of a key now form a list, latest first; a forgotten one leaves the others known until their own expiry. IdempotencyWindowTest.forgottenLaterRequestLeavesTheOriginalKnown failed before (950 run 3 a) and passes.

--- a/src/main/java/lupinwood/processing/IdempotencyStore.java
+++ b/src/main/java/lupinwood/processing/IdempotencyStore.java
@@ -42,6 +42,12 @@
          */
         boolean finished;
 
+        /**
+         * The record before this one with the same key, whose window ended before this one's
+         * request arrived; null if there is none.
+         */
+        private IdempotencyRecord earlier;
+
         /** The repeats that wait for the result. */
         final List<RequestId> waitingRepeats = new ArrayList<>();
 
@@ -58,7 +64,9 @@
         }
     }
 
-    private final Map<IdempotencyKey, IdempotencyRecord> byKey = new HashMap<>();
+    /** The latest record of each key, with the key's earlier records behind it. */
+    private final Map<IdempotencyKey, IdempotencyRecord> latestByKey = new HashMap<>();
+
     private final Map<RequestId, IdempotencyRecord> byRequest = new HashMap<>();
 
     /**
@@ -81,12 +89,15 @@
     }
 
     /**
-     * Finds the record that a request with this arrival time repeats; null if there is none or its
-     * window has ended.
+     * Finds the latest record that a request with this arrival time repeats; null if there is none
+     * or its window has ended.
      */
     IdempotencyRecord find(IdempotencyKey key, MonotonicTime reached) {
-        IdempotencyRecord found = key == null ? null : byKey.get(key);
-        return found != null && reached.isBefore(found.windowEndsAt) ? found : null;
+        IdempotencyRecord found = key == null ? null : latestByKey.get(key);
+        while (found != null && !reached.isBefore(found.windowEndsAt)) {
+            found = found.earlier;
+        }
+        return found;
     }
 
     IdempotencyRecord findByRequest(RequestId requestId) {
@@ -96,10 +107,10 @@
     IdempotencyRecord remember(
             IdempotencyKey key, RequestId requestId, MonotonicTime windowEndsAt, byte[] body) {
         // An earlier request with this key, past its window, may still run and have repeats that
-        // wait for it; that earlier record is dropped at its own expiry.
+        // wait for it or that were not read yet; that earlier record is dropped at its own expiry.
         IdempotencyRecord idempotencyRecord =
                 new IdempotencyRecord(key, requestId, windowEndsAt, body);
-        byKey.put(key, idempotencyRecord);
+        idempotencyRecord.earlier = latestByKey.put(key, idempotencyRecord);
         byRequest.put(requestId, idempotencyRecord);
         storedBytes += idempotencyRecord.byteCount();
         evictToFit();
@@ -128,11 +139,26 @@
         idempotencyRecord.finished = true;
         evictable.remove(idempotencyRecord);
         if (byRequest.remove(idempotencyRecord.requestId, idempotencyRecord)) {
-            byKey.remove(idempotencyRecord.key, idempotencyRecord);
+            removeFromKey(idempotencyRecord);
             storedBytes -= idempotencyRecord.byteCount();
         }
     }
 
+    /** Removes a record from those of its key; the key's other records stay known. */
+    private void removeFromKey(IdempotencyRecord idempotencyRecord) {
+        IdempotencyRecord later = latestByKey.get(idempotencyRecord.key);
+        if (later != idempotencyRecord) {
+            while (later.earlier != idempotencyRecord) {
+                later = later.earlier;
+            }
+            later.earlier = idempotencyRecord.earlier;
+        } else if (idempotencyRecord.earlier == null) {
+            latestByKey.remove(idempotencyRecord.key);
+        } else {
+            latestByKey.put(idempotencyRecord.key, idempotencyRecord.earlier);
+        }
+    }
+
     int size() {
         return byRequest.size();
     }
--- a/src/test/java/lupinwood/processing/IdempotencyWindowTest.java
+++ b/src/test/java/lupinwood/processing/IdempotencyWindowTest.java
@@ -69,4 +69,28 @@
                 950 2 SERVED paid
                 """);
     }
+
+    /**
+     * Guards against a second run of an attempt that is read late: a later request with the key,
+     * after the window, replaced the original's record, and took the key with it when it was
+     * withdrawn before it ran.
+     */
+    @Test
+    void forgottenLaterRequestLeavesTheOriginalKnown() {
+        MonotonicTime first = now;
+        completeRun(arrive("token", "k", "a"), Completion.WELL, "paid");
+        advanceMillis(900);
+        long withdrawn = read("a", now);
+        handle(() -> processor.aborted(currentConnection, withdrawn));
+        advanceMillis(50);
+        read("a", after(first, 700));
+        handle(() -> {});
+        assertThat(recorded())
+                .isEqualTo(
+                        """
+                0 run 1 a
+                0 1 SERVED paid
+                950 3 SERVED paid
+                """);
+    }
 }
