Order the timers of the decisions and of request processing by one structure

The decisions' timer queue could not cancel a timer, the request processor's could; both ordered timers by time and sequence. TimerSet holds that order for both; each keeps its own rule for timers that come due while others run.

--- a/src/main/java/lupinwood/admission/TimerQueue.java
+++ b/src/main/java/lupinwood/admission/TimerQueue.java
@@ -1,7 +1,6 @@
 package lupinwood.admission;
 
-import java.util.Comparator;
-import java.util.PriorityQueue;
+import lupinwood.admission.TimerSet.Timer;
 
 /**
  * The timers of the decisions. Due tasks run in order of time, and in the order of scheduling where
@@ -10,12 +9,8 @@
  * <p>Owned by the thread of the {@link AdmissionPolicy}.
  */
 public final class TimerQueue {
-    private record Timer(MonotonicTime dueAt, long sequence, Runnable task) {}
-
-    private final PriorityQueue<Timer> queue =
-            new PriorityQueue<>(Comparator.comparing(Timer::dueAt).thenComparing(Timer::sequence));
+    private final TimerSet timers = new TimerSet();
     private final ServerActions server;
-    private long sequence;
     private MonotonicTime requestedWakeUp = MonotonicTime.NEVER;
 
     /** Creates an empty queue that requests its wake-ups from this server. */
@@ -25,7 +20,7 @@
 
     /** Runs the task at this time, or with the first wake-up after it. */
     public void scheduleAt(MonotonicTime time, Runnable task) {
-        queue.add(new Timer(time, sequence++, task));
+        timers.add(time, task);
     }
 
     /** Runs the task after this duration. */
@@ -40,8 +35,11 @@
      */
     public void runDue() {
         requestedWakeUp = MonotonicTime.NEVER;
-        while (!queue.isEmpty() && !server.now().isBefore(queue.peek().dueAt())) {
-            queue.poll().task().run();
+        for (Timer next = timers.first();
+                next != null && next.isDue(server.now());
+                next = timers.first()) {
+            timers.remove(next);
+            next.run();
         }
     }
 
@@ -51,7 +49,7 @@
      * past would never come.
      */
     public void requestWakeUp() {
-        Timer next = queue.peek();
+        Timer next = timers.first();
         MonotonicTime wakeUpAt = server.now().plus(new NanoDuration(1));
         if (next != null && wakeUpAt.isBefore(next.dueAt())) {
             wakeUpAt = next.dueAt();
--- a/src/main/java/lupinwood/net/AjpExecutor.java
+++ b/src/main/java/lupinwood/net/AjpExecutor.java
@@ -16,6 +16,7 @@
 import java.util.function.Supplier;
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
+import lupinwood.admission.TimerSet;
 import lupinwood.ajp.BackReader;
 import lupinwood.ajp.BadPacket;
 import lupinwood.ajp.Requests;
@@ -25,7 +26,6 @@
 import lupinwood.processing.AttemptId;
 import lupinwood.processing.Completion;
 import lupinwood.processing.RequestProcessor;
-import lupinwood.processing.TimerService;
 import lupinwood.settings.ParsedSettings;
 import lupinwood.settings.Schema;
 
@@ -66,7 +66,7 @@
         final List<Integer> tried = new ArrayList<>();
 
         /** Ends the run if no server may have it in time; null while it does not wait. */
-        private TimerService.Timer waitTimer;
+        private TimerSet.Timer waitTimer;
 
         Run(AttemptId id, String className, byte[] body, MonotonicTime began) {
             this.id = id;
@@ -90,7 +90,7 @@
             new RetryBudget(OutlierLimits.DEFAULTS.retryRatio(), SAVED_UP);
     private final Deque<Run> waiting = new ArrayDeque<>();
     private final Set<ServerConnection> toFlush = new HashSet<>();
-    private TimerService.Timer back;
+    private TimerSet.Timer back;
 
     /**
      * By servers: requests that might have gone there, that ended, that failed, and what the others
@@ -358,10 +358,10 @@
         private boolean slow;
         private int bodyFrom;
         private MonotonicTime restsSince;
-        private TimerService.Timer rest;
-        private TimerService.Timer pong;
-        private TimerService.Timer target;
-        private TimerService.Timer cap;
+        private TimerSet.Timer rest;
+        private TimerSet.Timer pong;
+        private TimerSet.Timer target;
+        private TimerSet.Timer cap;
         private boolean over;
 
         /** It holds no descriptor any more. */
--- a/src/main/java/lupinwood/net/DependencyClient.java
+++ b/src/main/java/lupinwood/net/DependencyClient.java
@@ -11,11 +11,11 @@
 import java.util.Set;
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
+import lupinwood.admission.TimerSet;
 import lupinwood.processing.AttemptId;
 import lupinwood.processing.Completion;
 import lupinwood.processing.Dependency;
 import lupinwood.processing.RequestProcessor;
-import lupinwood.processing.TimerService;
 
 /**
  * Calls to the shared index: a small pool of connections with one call at a time on each, so that
@@ -140,7 +140,7 @@
         /** The call that is out, or null. */
         private Call call;
 
-        private TimerService.Timer tooOld;
+        private TimerSet.Timer tooOld;
         private MonotonicTime idleSince;
 
         /** How long it was idle before the call that is out; null if it is its first. */
--- a/src/main/java/lupinwood/net/ExecutorClient.java
+++ b/src/main/java/lupinwood/net/ExecutorClient.java
@@ -5,11 +5,11 @@
 import java.util.function.Consumer;
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
+import lupinwood.admission.TimerSet;
 import lupinwood.processing.AttemptId;
 import lupinwood.processing.Completion;
 import lupinwood.processing.Executor;
 import lupinwood.processing.RequestProcessor;
-import lupinwood.processing.TimerService;
 import lupinwood.reload.ExecutorMigration;
 
 /**
@@ -49,7 +49,7 @@
     /** The link made last; it stands in for the other once it has joined. */
     private ExecutorConnection newest;
 
-    private TimerService.Timer again;
+    private TimerSet.Timer again;
 
     /**
      * What the executor last told of its age, and when; and when a link was lost after that, or
--- a/src/main/java/lupinwood/net/RegistryClient.java
+++ b/src/main/java/lupinwood/net/RegistryClient.java
@@ -9,9 +9,9 @@
 import java.util.List;
 import java.util.Set;
 import lupinwood.admission.NanoDuration;
+import lupinwood.admission.TimerSet;
 import lupinwood.processing.Completion;
 import lupinwood.processing.RequestProcessor;
-import lupinwood.processing.TimerService;
 
 /** Tells the service registry again and again that this node serves, so that it stays listed. */
 final class RegistryClient {
@@ -127,7 +127,7 @@
     private final class RegistryConnection
             extends OutboundConnection<HttpResponseParser.HttpResponse> {
         private final InetSocketAddress to = address;
-        private TimerService.Timer deadline;
+        private TimerSet.Timer deadline;
         private boolean requested = true;
 
         /** What it says last is that the node leaves, and no report was under way beside it. */
--- a/src/main/java/lupinwood/processing/ActiveRequest.java
+++ b/src/main/java/lupinwood/processing/ActiveRequest.java
@@ -3,6 +3,7 @@
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.RequestId;
 import lupinwood.admission.RequestListener;
+import lupinwood.admission.TimerSet;
 
 /**
  * A request in the request table: where its response goes, and the progress of its run and its
@@ -58,7 +59,7 @@
     MonotonicTime calledAt;
 
     /** Fires when the pending call times out; null if none is pending. */
-    TimerService.Timer callTimer;
+    TimerSet.Timer callTimer;
 
     ActiveRequest(
             ConnectionId connection,
--- a/src/main/java/lupinwood/processing/Connection.java
+++ b/src/main/java/lupinwood/processing/Connection.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.RequestId;
+import lupinwood.admission.TimerSet;
 
 /**
  * The connection of an upstream load balancer in the {@link ConnectionTable}: its open requests,
@@ -26,7 +27,7 @@
 
     ConnectionId id;
     final Map<Long, RequestId> openByTag = new HashMap<>();
-    TimerService.Timer idleTimer;
+    TimerSet.Timer idleTimer;
     MonotonicTime idleSince;
 
     /** Null while a request is open on the connection. */
--- a/src/main/java/lupinwood/processing/ExecutorSession.java
+++ b/src/main/java/lupinwood/processing/ExecutorSession.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
+import lupinwood.admission.TimerSet;
 import lupinwood.processing.CommandDelivery.State;
 
 /**
@@ -55,7 +56,7 @@
     private boolean canSkipCalls = true;
 
     /** Fires when the next request with a run command in doubt is over; null if there is none. */
-    private TimerService.Timer overTimer;
+    private TimerSet.Timer overTimer;
 
     /**
      * Creates a session that has no connection yet.
--- a/src/main/java/lupinwood/processing/HealthChecks.java
+++ b/src/main/java/lupinwood/processing/HealthChecks.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
+import lupinwood.admission.TimerSet;
 
 /**
  * Answers health checks: from the last reported health, or after a deep check that does real work
@@ -18,7 +19,7 @@
         void answer(ConnectionId connection, long tag, boolean healthy);
     }
 
-    private record DeepCheck(ConnectionId connection, long tag, TimerService.Timer timer) {}
+    private record DeepCheck(ConnectionId connection, long tag, TimerSet.Timer timer) {}
 
     /** A deep check that takes longer than this fails. */
     private static final NanoDuration DEEP_CHECK_TIMEOUT = NanoDuration.ofSeconds(1);
@@ -62,7 +63,7 @@
             return;
         }
         long queryTag = queryTags.next();
-        TimerService.Timer timer =
+        TimerSet.Timer timer =
                 timers.schedule(
                         clock.get().plus(DEEP_CHECK_TIMEOUT),
                         () -> onDeepCheckCompleted(queryTag, false));
--- a/src/main/java/lupinwood/processing/WakeUpScheduler.java
+++ b/src/main/java/lupinwood/processing/WakeUpScheduler.java
@@ -6,6 +6,7 @@
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
 import lupinwood.admission.ResourceUsage;
+import lupinwood.admission.TimerSet;
 
 /**
  * Wakes the admission policy at the times that it asked for. Each wake-up carries resource usage
@@ -40,8 +41,8 @@
     private long awaitedUsageTag;
 
     private boolean draining;
-    private TimerService.Timer nextWakeUp;
-    private TimerService.Timer usageTimeout;
+    private TimerSet.Timer nextWakeUp;
+    private TimerSet.Timer usageTimeout;
     private ResourceUsage resourceUsage = ResourceUsage.UNKNOWN;
     private MonotonicTime readAt = new MonotonicTime(0);
 
--- a/src/test/java/lupinwood/processing/RequestProcessorTest.java
+++ b/src/test/java/lupinwood/processing/RequestProcessorTest.java
@@ -15,6 +15,7 @@
 import lupinwood.admission.Request;
 import lupinwood.admission.RuleCheckingPolicy;
 import lupinwood.admission.SubjectId;
+import lupinwood.admission.TimerSet;
 import lupinwood.admission.UpstreamId;
 import org.junit.jupiter.api.Test;
 
@@ -1207,8 +1208,7 @@
                     record("first");
                     timers.schedule(new MonotonicTime(1), () -> record("added"));
                 });
-        TimerService.Timer cancelled =
-                timers.schedule(new MonotonicTime(1), () -> record("cancelled"));
+        TimerSet.Timer cancelled = timers.schedule(new MonotonicTime(1), () -> record("cancelled"));
         timers.cancel(cancelled);
         timers.runDue(new MonotonicTime(3));
         record("--");
