Cancel the expiry timer of an idempotency record that is forgotten

A withdrawn request's record leaves the store at once, so that the store's bounds on records and bytes no longer count it, but the timer for its expiry stayed until the end of the window and of the class's timeout and held the record with its body. forget now cancels that timer. WithdrawnRequestsTest.withdrawnIdempotentRequestsLeaveNoTimers failed before (502 timers, 2 expected) and passes.

--- a/src/main/java/lupinwood/processing/IdempotencyStore.java
+++ b/src/main/java/lupinwood/processing/IdempotencyStore.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.RequestId;
+import lupinwood.admission.TimerSet;
 
 /**
  * The idempotency records, with the results of the requests that ran, bounded in number. When the
@@ -48,6 +49,9 @@
          */
         private IdempotencyRecord earlier;
 
+        /** Drops the record at its expiry; null until it is scheduled. */
+        TimerSet.Timer expiryTimer;
+
         /** The repeats that wait for the result. */
         final List<RequestId> waitingRepeats = new ArrayList<>();
 
--- a/src/main/java/lupinwood/processing/IdempotentRequests.java
+++ b/src/main/java/lupinwood/processing/IdempotentRequests.java
@@ -122,16 +122,23 @@
         NanoDuration timeout = validator.get().requestClass(requestClassId).timeout();
         MonotonicTime expiresAt = clock.fromStamp(idempotencyRecord.windowEndsAt.plus(timeout));
         if (clock.now().isBefore(expiresAt)) {
-            timers.schedule(expiresAt, () -> dropWhenExpired(idempotencyRecord, requestClassId));
+            idempotencyRecord.expiryTimer =
+                    timers.schedule(
+                            expiresAt, () -> dropWhenExpired(idempotencyRecord, requestClassId));
         } else {
             store.drop(idempotencyRecord);
         }
     }
 
-    /** Forgets a request that never ran; the repeats that wait for it fail. */
+    /**
+     * Forgets a request that never ran; the repeats that wait for it fail. Its expiry timer is
+     * cancelled: it would hold the record with its body, which the bounds of the store no longer
+     * count.
+     */
     void forget(RequestId requestId) {
         IdempotencyStore.IdempotencyRecord idempotencyRecord = store.findByRequest(requestId);
         if (idempotencyRecord != null) {
+            timers.cancel(idempotencyRecord.expiryTimer);
             store.drop(idempotencyRecord);
             defer.accept(() -> answerWaitingRepeats(idempotencyRecord, null));
         }
