Cancel the timers of the decisions with the requests that they guard

The end of a request cancels its deadline timer, the removal of an idempotency record the timer of its window.

--- a/src/main/java/lupinwood/admission/AdmissionController.java
+++ b/src/main/java/lupinwood/admission/AdmissionController.java
@@ -76,11 +76,14 @@
             // Whatever state the request is in, it is answered before its client times out or this
             // node stops. The timer is set even after a drain's last answers, since a retry
             // admitted then may wait for its original's result.
-            rules.timers.scheduleAt(
-                    rules.drain.answerDeadline(request),
-                    () ->
-                            lifecycle.reject(
-                                    request, RejectionReason.DEADLINE_PASSED, NanoDuration.ZERO));
+            request.setDeadlineTimer(
+                    rules.timers.scheduleAt(
+                            rules.drain.answerDeadline(request),
+                            () ->
+                                    lifecycle.reject(
+                                            request,
+                                            RejectionReason.DEADLINE_PASSED,
+                                            NanoDuration.ZERO)));
         }
         return listener(request);
     }
@@ -235,6 +238,11 @@
         rules.timers.scheduleAfter(interval, this::refreshPeriodically);
     }
 
+    /** The number of timers that are scheduled. */
+    int timerCount() {
+        return rules.timers.size();
+    }
+
     private void reportLoad() {
         rules.load.report(rules.cost.meanCoreSeconds(server.now()), rules.drain.isDraining());
     }
--- a/src/main/java/lupinwood/admission/AdmittedRequest.java
+++ b/src/main/java/lupinwood/admission/AdmittedRequest.java
@@ -38,6 +38,7 @@
     private boolean provenNeverRan;
     private boolean needsNoAnswer;
     private boolean failed;
+    private TimerSet.Timer deadlineTimer;
     private TenantQuota.Bucket quotaBucket;
     private boolean overQuota;
 
@@ -123,6 +124,15 @@
         return answerDeadline;
     }
 
+    /** The timer that answers it at its deadline; null if none was set. */
+    TimerSet.Timer deadlineTimer() {
+        return deadlineTimer;
+    }
+
+    void setDeadlineTimer(TimerSet.Timer timer) {
+        deadlineTimer = timer;
+    }
+
     boolean isInState(State other) {
         return state == other;
     }
--- a/src/main/java/lupinwood/admission/IdempotencyGuard.java
+++ b/src/main/java/lupinwood/admission/IdempotencyGuard.java
@@ -26,12 +26,15 @@
         FAIL
     }
 
+    /** A remembered original, and the timer that removes it at the end of its window. */
+    private record Original(AdmittedRequest request, TimerSet.Timer expiryTimer) {}
+
     private final ServerActions server;
     private final TimerQueue timers;
     private final MemoryBudget memory;
     private final double recordKb;
     private final NanoDuration tick;
-    private final Map<RequestId, AdmittedRequest> originals = new HashMap<>();
+    private final Map<RequestId, Original> originals = new HashMap<>();
 
     IdempotencyGuard(
             ServerActions server, TimerQueue timers, MemoryBudget memory, PolicySettings settings) {
@@ -52,12 +55,13 @@
         if (!isIdempotent(request) || originalId == null) {
             return Verdict.MAY_RUN;
         }
-        AdmittedRequest original = originals.get(originalId);
-        if (original == null) {
+        Original found = originals.get(originalId);
+        if (found == null) {
             // The record has expired here, or was removed since the original never ran; the node
             // may still have the result.
             return Verdict.ANSWER_FROM_ORIGINAL;
         }
+        AdmittedRequest original = found.request();
         if (!original.hasRun() && original.isFinished()) {
             return Verdict.MAY_RUN;
         }
@@ -74,22 +78,28 @@
         MonotonicTime windowEnd = request.arrivedAt().plus(request.requestClass().window());
         NanoDuration timeLeft = windowEnd.since(server.now()).max(NanoDuration.ZERO);
         memory.reserve(recordKb);
-        originals.put(request.id(), request);
         server.remember(request.id(), timeLeft.plus(tick));
-        timers.scheduleAfter(timeLeft.plus(tick).plus(tick), () -> removeRecord(request));
+        TimerSet.Timer expiryTimer =
+                timers.scheduleAfter(
+                        timeLeft.plus(tick).plus(tick), () -> removeRecord(request.id()));
+        originals.put(request.id(), new Original(request, expiryTimer));
     }
 
     /** Forgets a request that never ran, so that a retry may run. */
     void forget(AdmittedRequest request) {
-        if (removeRecord(request)) {
+        if (removeRecord(request.id())) {
             server.forget(request.id());
         }
     }
 
-    private boolean removeRecord(AdmittedRequest request) {
-        boolean removed = originals.remove(request.id(), request);
-        memory.release(removed ? recordKb : 0);
-        return removed;
+    private boolean removeRecord(RequestId requestId) {
+        Original removed = originals.remove(requestId);
+        if (removed == null) {
+            return false;
+        }
+        timers.cancel(removed.expiryTimer());
+        memory.release(recordKb);
+        return true;
     }
 
     private static boolean isIdempotent(AdmittedRequest request) {
--- a/src/main/java/lupinwood/admission/RequestLifecycle.java
+++ b/src/main/java/lupinwood/admission/RequestLifecycle.java
@@ -119,7 +119,12 @@
         }
     }
 
+    /**
+     * Ends a request. Its deadline timer is cancelled: it would hold the request until the
+     * deadline, so that a client that withdraws its requests at once could fill the heap.
+     */
     private void finish(AdmittedRequest request) {
+        rules.timers.cancel(request.deadlineTimer());
         leaveCores(request);
         rules.queue.remove(request);
         rules.callQueue.remove(request);
--- a/src/main/java/lupinwood/admission/TimerQueue.java
+++ b/src/main/java/lupinwood/admission/TimerQueue.java
@@ -19,13 +19,23 @@
     }
 
     /** Runs the task at this time, or with the first wake-up after it. */
-    public void scheduleAt(MonotonicTime time, Runnable task) {
-        timers.add(time, task);
+    public Timer scheduleAt(MonotonicTime time, Runnable task) {
+        return timers.add(time, task);
     }
 
     /** Runs the task after this duration. */
-    public void scheduleAfter(NanoDuration duration, Runnable task) {
-        scheduleAt(server.now().plus(duration), task);
+    public Timer scheduleAfter(NanoDuration duration, Runnable task) {
+        return scheduleAt(server.now().plus(duration), task);
+    }
+
+    /** Cancels a timer; ignored if it has run already or is null. */
+    public void cancel(Timer timer) {
+        timers.remove(timer);
+    }
+
+    /** The number of scheduled timers. */
+    public int size() {
+        return timers.size();
     }
 
     /**
--- a/src/test/java/lupinwood/admission/RecordingServer.java
+++ b/src/test/java/lupinwood/admission/RecordingServer.java
@@ -86,7 +86,18 @@
         return admit(classIndex, 0, 10, 0);
     }
 
+    /** Lets a request arrive without a decision after it; returns its listener. */
+    RequestListener admitUndecided(int classIndex) {
+        return listeners.get(receive(classIndex, 0, 10, 0));
+    }
+
     long admit(int classIndex, long originalId, double memoryKb, int tenant) {
+        long id = receive(classIndex, originalId, memoryKb, tenant);
+        policy.decide();
+        return id;
+    }
+
+    private long receive(int classIndex, long originalId, double memoryKb, int tenant) {
         long id = nextId++;
         RequestId originalRequestId = originalId == 0 ? null : new RequestId(originalId);
         listeners.put(
@@ -105,7 +116,6 @@
                                 false,
                                 NanoDuration.ZERO,
                                 originalRequestId)));
-        policy.decide();
         return id;
     }
 
