Read on while a connection that begins to close has requests open

Now such a connection is read until its open requests are answered: requests are rejected at once, aborts take effect. Red before: net.ClosingConnectionTest (101 FAIL instead of 103 NAK), two of processing.ClosingConnectionTest (not read any more).

--- a/src/main/java/lupinwood/processing/ConnectionTable.java
+++ b/src/main/java/lupinwood/processing/ConnectionTable.java
@@ -344,24 +344,38 @@
     }
 
     /**
-     * Stops reading, and closes the connection once its open requests are answered. If there are
-     * such, an upstream that still speaks the protocol is asked first to send no more requests,
-     * because they would be left without a response.
+     * Closes the connection once its open requests are answered. Until then an upstream that still
+     * speaks the protocol is asked to send no more requests, and is read: requests that cross the
+     * close request must be answered too, and clients must be able to abort. Otherwise reading
+     * stops at once.
      */
     private void beginClose(Connection connection, Completion closeReason) {
-        if (connection.closing) {
-            return;
-        }
         boolean stillSends =
                 closeReason != Completion.CLOSED_BY_PEER && closeReason != Completion.MALFORMED;
-        if (stillSends && !connection.openByTag.isEmpty()) {
+        if (!connection.closing && stillSends && !connection.openByTag.isEmpty()) {
             requestClose(connection);
         }
-        connection.closing = true;
-        connection.closeReason = closeReason;
-        upstreams.stopReading(connection.id);
-        if (connection.openByTag.isEmpty()) {
-            closeAfterFlush(connection);
+        if (!stillSends || connection.openByTag.isEmpty()) {
+            upstreams.stopReading(connection.id);
+        }
+        if (!connection.closing) {
+            connection.closing = true;
+            connection.closeReason = closeReason;
+            if (connection.openByTag.isEmpty()) {
+                closeAfterFlush(connection);
+            }
+        }
+    }
+
+    /**
+     * Handles a request that was read after the connection began to close. Once none can have
+     * crossed the close request any more the connection is not read further, so that an upstream
+     * that ignores the close request costs little.
+     */
+    void onRequestWhileClosing(ConnectionId id) {
+        Connection connection = table.get(id.number());
+        if (connection != null && ignoresCloseRequest(connection)) {
+            upstreams.stopReading(id);
         }
     }
 
--- a/src/main/java/lupinwood/processing/RequestIntake.java
+++ b/src/main/java/lupinwood/processing/RequestIntake.java
@@ -69,6 +69,7 @@
         if (connections.findRequest(connection, tag) == null) {
             responses.rejectArrival(connection, tag, NanoDuration.ZERO);
         }
+        connections.onRequestWhileClosing(connection);
     }
 
     /**
--- a/src/test/java/lupinwood/processing/RequestProcessorFixture.java
+++ b/src/test/java/lupinwood/processing/RequestProcessorFixture.java
@@ -1,6 +1,8 @@
 package lupinwood.processing;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
 import lupinwood.admission.AdmissionController;
 import lupinwood.admission.MonotonicTime;
 import lupinwood.admission.NanoDuration;
@@ -18,6 +20,10 @@
     final RecordingServer settingsSource = new RecordingServer();
     final StringBuilder trace = new StringBuilder();
     final TimerService timers = new TimerService();
+
+    /** The connections that are not read any more. */
+    final Set<ConnectionId> notRead = new HashSet<>();
+
     MonotonicTime now = new MonotonicTime(1_000_000_000_000L);
     boolean isExecutorConnected = true;
     boolean readsResponses = true;
@@ -208,7 +214,7 @@
 
     @Override
     public void stopReading(ConnectionId connection) {
-        // Not recorded; the tests check that later requests on the connection are rejected.
+        notRead.add(connection);
     }
 
     @Override
--- a/src/test/java/lupinwood/processing/RequestProcessorTest.java
+++ b/src/test/java/lupinwood/processing/RequestProcessorTest.java
@@ -625,11 +625,11 @@
     }
 
     /**
-     * Guards against an upstream that goes on sending to a connection that is not read any more: it
-     * is told so while a request is still open there, and what it had sent before is answered.
+     * Guards against an upstream that goes on sending on a connection that is about to close: it is
+     * told so while a request is still open there, and what it had sent before is answered.
      */
     @Test
-    void upstreamIsAskedToCloseAConnectionThatStopsBeingRead() {
+    void upstreamIsAskedToCloseAConnectionThatBeginsToClose() {
         start();
         currentConnection = processor.addConnection();
         long open = arrive("pure", null, "a");
