Count a conflict with another request as one that may not be the upstream's fault

A bad client that used a sound upstream's key first so cost that upstream its connection. Both are conflicts now: the request fails, and only the 16th invalid one in a row closes the connection, as for durations that are invalid.

--- a/src/main/java/lupinwood/processing/RequestFault.java
+++ b/src/main/java/lupinwood/processing/RequestFault.java
@@ -9,14 +9,14 @@
     /** The settings name tenants, but not this one. */
     UNKNOWN_TENANT("unknown_tenant", Kind.PROTOCOL_VIOLATION),
     /** Another request in the request table has the same attempt id. */
-    ATTEMPT_ID_IN_USE("attempt_id_in_use", Kind.PROTOCOL_VIOLATION),
+    ATTEMPT_ID_IN_USE("attempt_id_in_use", Kind.CONFLICT),
     /**
      * It has an idempotency key but its request class is not idempotent, or it has none but its
      * request class is.
      */
     IDEMPOTENCY_KEY_MISMATCH("idempotency_key_mismatch", Kind.PROTOCOL_VIOLATION),
     /** Its idempotency key is remembered with another body. */
-    IDEMPOTENCY_KEY_REUSED("idempotency_key_reused", Kind.PROTOCOL_VIOLATION),
+    IDEMPOTENCY_KEY_REUSED("idempotency_key_reused", Kind.CONFLICT),
     /** Its arrival time is further ahead than two clocks of one host can differ. */
     ARRIVAL_TIME_IN_FUTURE("arrival_time_in_future", Kind.PROTOCOL_VIOLATION),
     /** Its client timeout or its cost hint is not a valid positive duration. */
@@ -32,6 +32,11 @@
     enum Kind {
         /** The upstream violates the protocol. */
         PROTOCOL_VIOLATION,
+        /**
+         * It conflicts with another request, which another upstream may have sent. Either of the
+         * two may be the one that violates the protocol.
+         */
+        CONFLICT,
         /**
          * One duration of this request only; the upstream may comply with the protocol otherwise.
          */
--- a/src/main/java/lupinwood/processing/RequestIntake.java
+++ b/src/main/java/lupinwood/processing/RequestIntake.java
@@ -160,7 +160,7 @@
                 responses.report(incomingRequest, Response.Kind.FAILED);
                 connections.countUnservedRequest(connection);
             }
-            case INVALID_DURATION -> connections.countInvalidRequest(connection);
+            case CONFLICT, INVALID_DURATION -> connections.countInvalidRequest(connection);
             case PROTOCOL_VIOLATION -> connections.onInvalidRequest(connection);
         }
     }
