Cancel the timer of an incomplete message when its connection closes

The timer that watches an incomplete message was scheduled anew again and again on a connection that was reset, or that the node cut off at once, since only the end of reading stopped it; it held the connection with the message for ever. The connection's end now cancels it.

--- a/src/main/java/lupinwood/net/UpstreamListener.java
+++ b/src/main/java/lupinwood/net/UpstreamListener.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import lupinwood.admission.NanoDuration;
+import lupinwood.admission.TimerSet;
 import lupinwood.log.Log;
 import lupinwood.processing.Completion;
 import lupinwood.processing.ConnectionId;
@@ -157,7 +158,9 @@
         private long messagesRead;
 
         private volatile boolean midway;
-        private boolean watched;
+
+        /** Fires while a message stays incomplete; null while none is watched. */
+        private TimerSet.Timer incompleteTimer;
 
         /**
          * Its output ends with this round, so that all read with what ended it still gets its
@@ -280,29 +283,29 @@
 
         /** Guards against a message that never ends, however little or much comes of it. */
         private void watch() {
-            if (!watched && id != null && midway) {
-                watched = true;
+            if (incompleteTimer == null && id != null && midway) {
                 awaitEnd(messages, MOST_SILENCES);
             }
         }
 
         private void awaitEnd(long before, int left) {
-            deadlines.schedule(
-                    processor.now().plus(SILENCE),
-                    () -> {
-                        if (!midway || messages != before || id == null) {
-                            watched = false;
-                            watch();
-                        } else if (left > 1) {
-                            awaitEnd(before, left - 1);
-                        } else {
-                            watched = false;
-                            processor.onMessageIncomplete(id);
-                            if (!over) {
-                                watch(); // it may be slow
-                            }
-                        }
-                    });
+            incompleteTimer =
+                    deadlines.schedule(
+                            processor.now().plus(SILENCE), () -> onSilence(before, left));
+        }
+
+        private void onSilence(long before, int left) {
+            incompleteTimer = null;
+            if (!midway || messages != before) {
+                watch();
+            } else if (left > 1) {
+                awaitEnd(before, left - 1);
+            } else {
+                processor.onMessageIncomplete(id);
+                if (!over) {
+                    watch(); // it may be slow
+                }
+            }
         }
 
         @Override
@@ -329,10 +332,16 @@
                     });
         }
 
+        /**
+         * The timer of an incomplete message is cancelled: nothing else ends it, and it would hold
+         * the closed connection with what was read of the message.
+         */
         @Override
         public void closed(boolean malformed) {
             eventLoop.tell(
                     () -> {
+                        over = true;
+                        deadlines.cancel(incompleteTimer);
                         if (id != null) {
                             callers.remove(id);
                             processor.disconnected(id);
