Bound the memory of incomplete messages over all connections

Each message was bounded by itself, all together were not: connections times the largest packet may be more than the heap; RESP holds up to 32 KB a connection. IncompleteMessageBudget gives them a tenth of the heap: once that is used, a connection whose message takes more than an equal share ends. A head counts with what its headers take in memory. A message that can't be read or is cut off is let go at once.

--- a/src/main/java/lupinwood/ajp/FrontReader.java
+++ b/src/main/java/lupinwood/ajp/FrontReader.java
@@ -32,9 +32,15 @@
     private final int packet;
     private final int mostBody;
 
+    /** What a header or an attribute takes in memory beside its text: two strings and an entry. */
+    private static final int FIELD_OVERHEAD_BYTES = 160;
+
     /** The request whose body is under way, or null. */
     private Request request;
 
+    /** The memory that it takes, in bytes. */
+    private int requestBytes;
+
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private long got;
 
@@ -71,6 +77,9 @@
             return new Whole(read, new byte[0]);
         }
         request = read;
+        requestBytes =
+                one.length
+                        + FIELD_OVERHEAD_BYTES * (read.headers().size() + read.attributes().size());
         // With a length told, the first part of the body comes by itself.
         return read.contentLength() < 0 ? more() : null;
     }
@@ -108,6 +117,11 @@
         return whole;
     }
 
+    /** The memory that the message takes that is not complete yet, in bytes. */
+    public int heldBytes() {
+        return splitter.heldBytes() + (request == null ? 0 : requestBytes + body.size());
+    }
+
     /** Whether a message or a body was begun and hasn't ended. */
     public boolean isMidway() {
         return splitter.isMidway() || request != null;
--- a/src/main/java/lupinwood/ajp/Splitter.java
+++ b/src/main/java/lupinwood/ajp/Splitter.java
@@ -56,6 +56,11 @@
         return whole;
     }
 
+    /** The memory that the packet takes that is not whole yet, in bytes. */
+    int heldBytes() {
+        return payload == null ? 0 : payload.length;
+    }
+
     boolean isMidway() {
         return headRead > 0;
     }
--- a/src/main/java/lupinwood/net/AjpListener.java
+++ b/src/main/java/lupinwood/net/AjpListener.java
@@ -50,8 +50,12 @@
     private final AtomicLong ids = new AtomicLong(EventLoop.clock().nanos());
 
     AjpListener(
-            ParsedSettings parsedSettings, EventLoop eventLoop, TimerService deadlines, Log log) {
-        super(eventLoop, deadlines, log);
+            ParsedSettings parsedSettings,
+            EventLoop eventLoop,
+            TimerService deadlines,
+            IncompleteMessageBudget incompleteMessages,
+            Log log) {
+        super(eventLoop, deadlines, incompleteMessages, log);
         routes = new Routes(parsedSettings);
         String reported = parsedSettings.value("ajp secret");
         secret = reported == null ? null : reported.getBytes(StandardCharsets.ISO_8859_1);
@@ -129,7 +133,7 @@
 
     /** One web server's connection. */
     private final class AjpConnection extends UpstreamConnection {
-        private final FrontReader reader = new FrontReader(packet, MOST_BODY);
+        private FrontReader reader = new FrontReader(packet, MOST_BODY);
 
         /** A request is open; a second one then is an offence. */
         private boolean open;
@@ -162,6 +166,16 @@
             return reader.isMidway();
         }
 
+        @Override
+        int heldBytes() {
+            return reader.heldBytes();
+        }
+
+        @Override
+        void discardMessage() {
+            reader = new FrontReader(packet, MOST_BODY);
+        }
+
         @Override
         Runnable read(FrontReader.Event event) {
             MonotonicTime now = EventLoop.clock();
--- a/src/main/java/lupinwood/net/NodeServer.java
+++ b/src/main/java/lupinwood/net/NodeServer.java
@@ -101,6 +101,9 @@
         }
     }
 
+    /** The part of the heap that incomplete messages of all upstreams may take together. */
+    private static final double INCOMPLETE_MESSAGES_SHARE = 0.1;
+
     private static final NanoDuration LOOK_AGAIN = NanoDuration.ofSeconds(0.02);
 
     /**
@@ -199,11 +202,18 @@
         this.log = log;
         eventLoop = new EventLoop(deadlines, steady, log);
         sockets = new Sockets(log);
-        listener = new RespListener(eventLoop, deadlines, log);
+        IncompleteMessageBudget incompleteMessages =
+                new IncompleteMessageBudget(TableSizes.share(INCOMPLETE_MESSAGES_SHARE));
+        listener = new RespListener(eventLoop, deadlines, incompleteMessages, log);
         ajp =
                 config.parsedSettings().value("ajp listen") == null
                         ? null
-                        : new AjpListener(config.parsedSettings(), eventLoop, deadlines, log);
+                        : new AjpListener(
+                                config.parsedSettings(),
+                                eventLoop,
+                                deadlines,
+                                incompleteMessages,
+                                log);
         LinkContext context = new LinkContext(sockets, eventLoop, deadlines, log);
         executor = new ExecutorClient(config.executor(), at -> executorAt = at, context);
         servers =
@@ -236,6 +246,7 @@
             servers.allow(descriptors.runs());
         }
         sockets.allow(descriptors.upstreams() + descriptors.closing());
+        incompleteMessages.divideAmong(descriptors.upstreams() + descriptors.closing());
         log.line(
                 "descriptors "
                         + all
--- a/src/main/java/lupinwood/net/RespListener.java
+++ b/src/main/java/lupinwood/net/RespListener.java
@@ -41,8 +41,12 @@
 
     private String signal;
 
-    RespListener(EventLoop eventLoop, TimerService deadlines, Log log) {
-        super(eventLoop, deadlines, log);
+    RespListener(
+            EventLoop eventLoop,
+            TimerService deadlines,
+            IncompleteMessageBudget incompleteMessages,
+            Log log) {
+        super(eventLoop, deadlines, incompleteMessages, log);
     }
 
     @Override
@@ -114,7 +118,7 @@
 
     /** One upstream load balancer's connection. */
     private final class RespConnection extends UpstreamConnection {
-        private final RespParser parser = new RespParser();
+        private RespParser parser = new RespParser();
 
         @Override
         List<byte[]> next(ByteBuffer bytes) throws ProtocolException {
@@ -126,6 +130,16 @@
             return parser.isMidway();
         }
 
+        @Override
+        int heldBytes() {
+            return parser.heldBytes();
+        }
+
+        @Override
+        void discardMessage() {
+            parser = new RespParser();
+        }
+
         @Override
         Runnable read(List<byte[]> items) throws ProtocolException {
             String verb = text(items.get(0));
--- a/src/main/java/lupinwood/net/RespParser.java
+++ b/src/main/java/lupinwood/net/RespParser.java
@@ -15,6 +15,9 @@
     /** Twice the body that the protocol allows, so that a body too long still gets its answer. */
     private static final int MOST_BYTES = 4096;
 
+    /** What an array takes beside its bytes, with its place in the list. */
+    private static final int ARRAY_OVERHEAD_BYTES = 24;
+
     private enum At {
         ARRAY,
         BULK,
@@ -28,6 +31,12 @@
     private int wanted;
     private byte[] item;
     private int filled;
+    private int heldBytes;
+
+    /** The memory that the message takes that is not complete yet, in bytes. */
+    int heldBytes() {
+        return heldBytes;
+    }
 
     /** Whether a message is begun and not whole. */
     boolean isMidway() {
@@ -52,6 +61,7 @@
                     int length = number(in, '$', MOST_BYTES);
                     if (length >= 0) {
                         item = new byte[length];
+                        heldBytes += ARRAY_OVERHEAD_BYTES + length;
                         filled = 0;
                         at = At.BYTES;
                     }
@@ -78,6 +88,7 @@
                             at = At.ARRAY;
                             List<byte[]> whole = List.copyOf(items);
                             items.clear();
+                            heldBytes = 0;
                             return whole;
                         }
                     }
--- a/src/main/java/lupinwood/net/UpstreamListener.java
+++ b/src/main/java/lupinwood/net/UpstreamListener.java
@@ -51,14 +51,20 @@
 
     private final EventLoop eventLoop;
     private final TimerService deadlines;
+    private final IncompleteMessageBudget incompleteMessages;
     private final Log log;
     private final Map<ConnectionId, UpstreamConnection> callers = new HashMap<>();
     private final Set<UpstreamConnection> toFlush = new LinkedHashSet<>();
     private RequestProcessor processor;
 
-    UpstreamListener(EventLoop eventLoop, TimerService deadlines, Log log) {
+    UpstreamListener(
+            EventLoop eventLoop,
+            TimerService deadlines,
+            IncompleteMessageBudget incompleteMessages,
+            Log log) {
         this.eventLoop = eventLoop;
         this.deadlines = deadlines;
+        this.incompleteMessages = incompleteMessages;
         this.log = log;
         eventLoop.addWriter(this::flush);
     }
@@ -159,6 +165,9 @@
 
         private volatile boolean midway;
 
+        /** What the budget counts for the incomplete message; of the socket thread. */
+        private int chargedBytes;
+
         /** Fires while a message stays incomplete; null while none is watched. */
         private TimerSet.Timer incompleteTimer;
 
@@ -179,6 +188,12 @@
 
         abstract boolean isMidway();
 
+        /** The memory that the message takes that is not complete yet, in bytes. */
+        abstract int heldBytes();
+
+        /** Lets go of the message that is not complete yet; nothing is read after it. */
+        abstract void discardMessage();
+
         /** What a message tells. */
         abstract Runnable read(T message) throws ProtocolException;
 
@@ -256,6 +271,7 @@
         public void received(ByteBuffer bytes) throws ProtocolException {
             int length = bytes.remaining();
             if (over) {
+                releaseMessage();
                 return;
             }
             List<Runnable> news = new ArrayList<>();
@@ -279,6 +295,21 @@
             } finally {
                 eventLoop.tell(news, length);
             }
+            if (!chargeMessage()) {
+                throw new ProtocolException("the incomplete messages take too much memory");
+            }
+        }
+
+        /** Charges the memory of the incomplete message; false if the connection may not go on. */
+        private boolean chargeMessage() {
+            int chargedBefore = chargedBytes;
+            chargedBytes = heldBytes();
+            return incompleteMessages.change(chargedBefore, chargedBytes);
+        }
+
+        private void releaseMessage() {
+            discardMessage();
+            chargeMessage();
         }
 
         /** Guards against a message that never ends, however little or much comes of it. */
@@ -324,6 +355,7 @@
 
         @Override
         public void malformed(IoSession session) {
+            releaseMessage();
             eventLoop.tell(
                     () -> {
                         if (id != null) {
@@ -338,6 +370,7 @@
          */
         @Override
         public void closed(boolean malformed) {
+            releaseMessage();
             eventLoop.tell(
                     () -> {
                         over = true;
