Pause reading on a connection while much of what it sent waits for the event loop

What was read waited in one queue of up to 1 MB, so a request, and each message of the executor and the dependency for it, waited behind 44,000 messages of that client. A connection of which 32 KB wait is not read until they are fewer; the selector is woken when reading resumes.

CrossingEventsTest.aFloodOfSmallMessagesWaitsAtItsSenders fills the inbox with 40 clients where it had 8: 8 of them may no longer have 900,000 bytes waiting. Its checks are the same, up to 1 MB for all together.

--- a/src/main/java/lupinwood/net/SelectorProcessor.java
+++ b/src/main/java/lupinwood/net/SelectorProcessor.java
@@ -1,6 +1,7 @@
 package lupinwood.net;
 
 import java.util.concurrent.Executor;
+import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 
@@ -22,6 +23,17 @@
         this.limit = limit;
     }
 
+    /**
+     * Lets the thread that reads and writes a connection see at once that reading was resumed. A
+     * change made by another thread counts from the next selection, which may wait for a second.
+     */
+    static void wake(IoSession session) {
+        if (session instanceof NioSession nioSession
+                && nioSession.getProcessor() instanceof SelectorProcessor selecting) {
+            selecting.wakeup();
+        }
+    }
+
     @Override
     protected void destroy(NioSession session) throws Exception {
         try {
--- a/src/main/java/lupinwood/net/UpstreamListener.java
+++ b/src/main/java/lupinwood/net/UpstreamListener.java
@@ -154,6 +154,12 @@
         private WriteBuffer outbox;
         private ConnectionId id;
 
+        /** Null until the connection is opened. */
+        private ReadFlowControl flowControl;
+
+        /** Nothing more can come; of the socket thread and the event loop. */
+        private volatile boolean inputEnded;
+
         /** Nothing more is read from it; set by the event loop thread. */
         private volatile boolean over;
 
@@ -252,6 +258,7 @@
 
         @Override
         public void opened(IoSession session) {
+            flowControl = new ReadFlowControl(session);
             eventLoop.tell(
                     () -> {
                         outbox = new WriteBuffer(session);
@@ -293,13 +300,22 @@
                     news.add(this::watch);
                 }
             } finally {
-                eventLoop.tell(news, length);
+                handOver(news, length);
             }
             if (!chargeMessage()) {
                 throw new ProtocolException("the incomplete messages take too much memory");
             }
         }
 
+        /** Hands over what one read brought. */
+        private void handOver(List<Runnable> news, int length) {
+            if (!news.isEmpty()) {
+                flowControl.onRead(length);
+                news.add(() -> flowControl.onProcessed(length, !over && !inputEnded));
+                eventLoop.tell(news, length);
+            }
+        }
+
         /** Charges the memory of the incomplete message; false if the connection may not go on. */
         private boolean chargeMessage() {
             int chargedBefore = chargedBytes;
@@ -341,6 +357,7 @@
 
         @Override
         public void inputClosed(IoSession session) {
+            inputEnded = true;
             session.suspendRead();
             eventLoop.tell(
                     () -> {
--- a/src/test/java/lupinwood/net/CrossingEventsTest.java
+++ b/src/test/java/lupinwood/net/CrossingEventsTest.java
@@ -675,11 +675,11 @@
         start();
         End caller = callerWithRun();
         List<SocketChannel> flood = new ArrayList<>();
-        for (int i = 0; i < 8; i++) {
+        for (int i = 0; i < 40; i++) {
             flood.add(SocketChannel.open(listen));
             write(flood.get(i), array("HEALTH", "1"));
         }
-        until(() -> serving.figures().startsWith("request processor state connections=9 "));
+        until(() -> serving.figures().startsWith("request processor state connections=41 "));
         CountDownLatch go = block();
         ByteBuffer many =
                 ByteBuffer.wrap(
--- a/src/test/java/lupinwood/net/IncompleteMessageBudgetTest.java
+++ b/src/test/java/lupinwood/net/IncompleteMessageBudgetTest.java
@@ -14,6 +14,7 @@
 import lupinwood.ajp.Requests;
 import lupinwood.log.Log;
 import lupinwood.processing.TimerService;
+import org.apache.mina.core.session.DummySession;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -35,6 +36,12 @@
         budget.divideAmong(CONNECTIONS);
     }
 
+    private Peer newPeer() {
+        Peer peer = listener.newPeer();
+        peer.opened(new DummySession());
+        return peer;
+    }
+
     /** A message that stops in the middle of its last string. */
     private static ByteBuffer incomplete(int strings, int length) {
         String string = "$" + length + "\r\n" + "x".repeat(length) + "\r\n";
@@ -44,9 +51,9 @@
 
     @Test
     void largeIncompleteMessagesEndTheirConnectionsOnceTheBudgetIsUsed() throws Exception {
-        Peer first = listener.newPeer();
+        Peer first = newPeer();
         first.received(incomplete(2, 4000));
-        Peer second = listener.newPeer();
+        Peer second = newPeer();
         assertThatThrownBy(() -> second.received(incomplete(2, 4000)))
                 .isInstanceOf(ProtocolException.class)
                 .hasMessageContaining("incomplete messages");
@@ -58,9 +65,9 @@
 
     @Test
     void messageWithinItsShareGoesOnAlthoughTheBudgetIsUsed() throws Exception {
-        listener.newPeer().received(incomplete(2, 4000));
-        listener.newPeer().received(incomplete(1, 1900));
-        Peer small = listener.newPeer();
+        newPeer().received(incomplete(2, 4000));
+        newPeer().received(incomplete(1, 1900));
+        Peer small = newPeer();
         small.received(incomplete(1, 900));
         assertThat(budget.usedBytes()).isGreaterThan(BUDGET_BYTES);
     }
@@ -68,7 +75,7 @@
     @Test
     void completeMessageTakesNothing() throws Exception {
         String health = "*2\r\n$6\r\nHEALTH\r\n$1\r\n1\r\n";
-        listener.newPeer().received(ByteBuffer.wrap(health.getBytes(ISO_8859_1)));
+        newPeer().received(ByteBuffer.wrap(health.getBytes(ISO_8859_1)));
         assertThat(budget.usedBytes()).isZero();
     }
 
