Pass over what was read of a connection that has closed meanwhile

The socket thread now marks the connection as gone, and the event loop passes over what still waits of it.

--- a/src/main/java/lupinwood/net/UpstreamListener.java
+++ b/src/main/java/lupinwood/net/UpstreamListener.java
@@ -160,6 +160,12 @@
         /** Nothing more can come; of the socket thread and the event loop. */
         private volatile boolean inputEnded;
 
+        /**
+         * The connection is closed. What was read of it and waits for the event loop is passed
+         * over: nobody can be told of it, and a client that comes again must not find it running.
+         */
+        private volatile boolean gone;
+
         /** Nothing more is read from it; set by the event loop thread. */
         private volatile boolean over;
 
@@ -289,7 +295,7 @@
                     messages = messagesRead;
                     news.add(
                             () -> {
-                                if (id != null) {
+                                if (id != null && !gone) {
                                     read.run();
                                 }
                             });
@@ -387,6 +393,7 @@
          */
         @Override
         public void closed(boolean malformed) {
+            gone = true;
             releaseMessage();
             eventLoop.tell(
                     () -> {
