Run no unsafe attempt again whose id comes again after its client left

An id was known only while its request was in the table. An unsafe request has no idempotency key, so its id alone tells that it came before: EndedUnsafeAttempts keeps the ids of unsafe attempts for which a run was requested until their clients no longer wait, at most as many as requests. Such a request fails, as for the id of an open one. Safe attempts may run again, and idempotent ones go by their key.

--- a/src/main/java/lupinwood/processing/RequestFault.java
+++ b/src/main/java/lupinwood/processing/RequestFault.java
@@ -8,7 +8,10 @@
     UNKNOWN_CLASS("unknown_request_class", Kind.PROTOCOL_VIOLATION),
     /** The settings name tenants, but not this one. */
     UNKNOWN_TENANT("unknown_tenant", Kind.PROTOCOL_VIOLATION),
-    /** Another request in the request table has the same attempt id. */
+    /**
+     * Another request in the request table has the same attempt id, or an unsafe one had it that
+     * may have run.
+     */
     ATTEMPT_ID_IN_USE("attempt_id_in_use", Kind.CONFLICT),
     /**
      * It has an idempotency key but its request class is not idempotent, or it has none but its
--- a/src/main/java/lupinwood/processing/RequestIntake.java
+++ b/src/main/java/lupinwood/processing/RequestIntake.java
@@ -140,7 +140,7 @@
             return Optional.of(RequestFault.CONNECTION_CLOSE_REQUESTED);
         }
         boolean attemptIdInUse =
-                incomingRequest != null && requests.contains(incomingRequest.attemptId());
+                incomingRequest != null && requests.isInUse(incomingRequest.attemptId());
         return validator.get().fault(incomingRequest, originalRecord, attemptIdInUse, clock.now());
     }
 
--- a/src/main/java/lupinwood/processing/RequestProcessor.java
+++ b/src/main/java/lupinwood/processing/RequestProcessor.java
@@ -108,7 +108,10 @@
                         ports.upstreams(),
                         timers,
                         clock::now);
-        requests = new RequestTable(limits.requests());
+        requests =
+                new RequestTable(
+                        limits.requests(),
+                        new EndedUnsafeAttempts(limits.requests(), clock, current));
         session =
                 new ExecutorSession(executor, tags, requests, timers, clock, current, ports.log());
         policyRunner =
--- a/src/main/java/lupinwood/processing/RequestTable.java
+++ b/src/main/java/lupinwood/processing/RequestTable.java
@@ -22,8 +22,11 @@
      */
     private final Set<ActiveRequest> started = new LinkedHashSet<>();
 
-    RequestTable(int maxRequests) {
+    private final EndedUnsafeAttempts endedAttempts;
+
+    RequestTable(int maxRequests, EndedUnsafeAttempts endedAttempts) {
         slots = new SlotTable<>(maxRequests);
+        this.endedAttempts = endedAttempts;
     }
 
     boolean isFull() {
@@ -56,8 +59,9 @@
         return activeRequest != null && activeRequest.started ? activeRequest : null;
     }
 
-    boolean contains(AttemptId id) {
-        return byAttempt.containsKey(id);
+    /** Whether a request with this attempt id is in the table, or an unsafe one may have run. */
+    boolean isInUse(AttemptId id) {
+        return byAttempt.containsKey(id) || endedAttempts.contains(id);
     }
 
     /** Marks the request as one for which a run was requested. */
@@ -77,6 +81,7 @@
         if (activeRequest != null) {
             byAttempt.remove(activeRequest.incomingRequest.attemptId(), activeRequest);
             started.remove(activeRequest);
+            endedAttempts.onReleased(activeRequest);
         }
         return activeRequest;
     }
--- a/src/main/java/lupinwood/processing/RequestValidator.java
+++ b/src/main/java/lupinwood/processing/RequestValidator.java
@@ -104,7 +104,8 @@
      *
      * @param incomingRequest null if it can't be parsed
      * @param originalRecord the idempotency record of an earlier attempt with the same key, or null
-     * @param attemptIdInUse whether another request in the request table has its attempt id
+     * @param attemptIdInUse whether its attempt id is that of another request in the request table,
+     *     or of an unsafe one that may have run
      */
     Optional<RequestFault> fault(
             IncomingRequest incomingRequest,
--- a/src/test/java/lupinwood/processing/SimulatedExecutor.java
+++ b/src/test/java/lupinwood/processing/SimulatedExecutor.java
@@ -64,7 +64,7 @@
     final TimerService timers = new TimerService();
     final EventLoopClock clock = new EventLoopClock(START);
     final QueryTagSequence queryTags = new QueryTagSequence();
-    final RequestTable requests = new RequestTable(8);
+    final RequestTable requests;
 
     /** What went wrong: a second run of an unsafe request, or a reply given to a run twice. */
     final List<String> violations = new ArrayList<>();
@@ -91,6 +91,7 @@
                 new RecordingServer()
                         .set("services.0.name=pure services.1.name=token services.2.name=effect");
         RequestValidator validator = new RequestValidator(new SettingsMap(settings.settings));
+        requests = new RequestTable(8, new EndedUnsafeAttempts(8, clock, () -> validator));
         session =
                 new ExecutorSession(
                         this, queryTags, requests, timers, clock, () -> validator, log::add);
