Let the tests of the executor client wait until the executor's welcome was read

ExecutorClientTest.runSentBeforeTheFirstUsageOfAnotherAddressIsNotRepeated failed once in the whole check, beside a second one, the review's cases and two busy processes: no METER on the old connection (line 64). The test said WELCOME and reloaded at once; where the node made the new connection before it had read the WELCOME, it joined there directly, as ExecutorClient.stands does for a link that was never welcomed and so was never written to.

--- a/src/test/java/lupinwood/net/ExecutorClientTest.java
+++ b/src/test/java/lupinwood/net/ExecutorClientTest.java
@@ -8,9 +8,11 @@
 
 /** What the executor is sent when its connection is lost, or handed over to another address. */
 final class ExecutorClientTest extends SocketTest {
+    /** Starts a node that has read the executor's welcome: a health check tells. */
     @BeforeEach
     void begin() throws Exception {
         start();
+        upstream();
     }
 
     /** Takes the node's next connection to the executor and welcomes it. */
