--- a/src/test/java/lupinwood/net/ClientGoneTest.java
+++ b/src/test/java/lupinwood/net/ClientGoneTest.java
@@ -19,29 +19,18 @@
         End leaving = upstream();
         End staying = upstream();
         EventLoop eventLoop = serving.eventLoop();
-        CountDownLatch go = new CountDownLatch(1);
-        eventLoop.tell(
-                () -> {
-                    try {
-                        go.await();
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                });
-        try {
-            until(() -> eventLoop.waiting() == 0);
-            leaving.say(request(101, "look", "nobody waits"));
-            until(() -> eventLoop.waiting() == 1);
-            for (int i = 0; i < MORE_THAN_A_ROUND; i++) {
-                eventLoop.tell(() -> {});
-            }
-            leaving.socket.setSoLinger(true, 0);
-            leaving.socket.close();
-            until(() -> eventLoop.waiting() == MORE_THAN_A_ROUND + 2);
-            staying.say(request(102, "look", "a"));
-        } finally {
-            go.countDown();
+        CountDownLatch go = block();
+        until(() -> eventLoop.waiting() == 0);
+        leaving.say(request(101, "look", "nobody waits"));
+        until(() -> eventLoop.waiting() == 1);
+        for (int i = 0; i < MORE_THAN_A_ROUND; i++) {
+            eventLoop.tell(() -> {});
         }
+        leaving.socket.setSoLinger(true, 0);
+        leaving.socket.close();
+        until(() -> eventLoop.waiting() == MORE_THAN_A_ROUND + 2);
+        staying.say(request(102, "look", "a"));
+        go.countDown();
         expectRun(102, "look", "a");
     }
 }
--- a/src/test/java/lupinwood/net/CrossingEventsTest.java
+++ b/src/test/java/lupinwood/net/CrossingEventsTest.java
@@ -36,11 +36,8 @@
     /** As many pieces of news as the event loop thread takes in one round. */
     private static final int A_ROUND = 256;
 
-    private final List<CountDownLatch> blocked = new ArrayList<>();
-
     @AfterEach
-    void letGo() {
-        blocked.forEach(CountDownLatch::countDown);
+    void resetWallClock() {
         WallClock.readFrom(Instant::now);
     }
 
@@ -49,32 +46,6 @@
         WallClock.readFrom(() -> Instant.now().plus(beside));
     }
 
-    /**
-     * Keeps the event loop thread until the latch that is returned is down; it is kept once this
-     * returns.
-     */
-    private CountDownLatch block() throws InterruptedException {
-        CountDownLatch go = new CountDownLatch(1);
-        CountDownLatch here = new CountDownLatch(1);
-        blocked.add(go);
-        serving.eventLoop()
-                .tell(
-                        () -> {
-                            here.countDown();
-                            await(go);
-                        });
-        await(here);
-        return go;
-    }
-
-    private static void await(CountDownLatch latch) {
-        try {
-            assertThat(latch.await(RESPONSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
-        } catch (InterruptedException e) {
-            throw new AssertionError(e);
-        }
-    }
-
     private End connect() throws IOException {
         return new End(new Socket(listen.getAddress(), listen.getPort()));
     }
--- a/src/test/java/lupinwood/net/EventLoopTest.java
+++ b/src/test/java/lupinwood/net/EventLoopTest.java
@@ -28,16 +28,8 @@
         EventLoop eventLoop = serving.eventLoop();
         AtomicInteger total = new AtomicInteger();
         List<Integer> totalAtWrite = Collections.synchronizedList(new ArrayList<>(List.of(0)));
-        CountDownLatch go = new CountDownLatch(1);
-        eventLoop.tell(
-                () -> {
-                    eventLoop.addWriter(() -> totalAtWrite.add(total.get()));
-                    try {
-                        go.await();
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                });
+        eventLoop.tell(() -> eventLoop.addWriter(() -> totalAtWrite.add(total.get())));
+        CountDownLatch go = block();
         List<Runnable> read = Collections.nCopies(MESSAGES_PER_READ, total::incrementAndGet);
         for (int i = 0; i < READS; i++) {
             eventLoop.tell(read, BYTES_PER_READ);
--- a/src/test/java/lupinwood/net/ReadFlowControlTest.java
+++ b/src/test/java/lupinwood/net/ReadFlowControlTest.java
@@ -46,16 +46,8 @@
         start();
         End fast = upstream();
         End other = upstream();
-        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch go = block();
         EventLoop eventLoop = serving.eventLoop();
-        eventLoop.tell(
-                () -> {
-                    try {
-                        go.await();
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                });
         Thread writer =
                 new Thread(
                         () -> {
@@ -66,21 +58,18 @@
                             }
                         });
         writer.start();
-        try {
-            until(() -> eventLoop.waitingBytes() >= ReadFlowControl.MAX_WAITING_BYTES);
-            // Each hand-over of the other client shows that the selector has looked at both.
-            for (int i = 0; i < ROUNDS_OF_THE_SELECTOR; i++) {
-                int waiting = eventLoop.waiting();
-                other.say(array("HEALTH", "8"));
-                until(() -> eventLoop.waiting() > waiting);
-            }
-            int otherBytes = ROUNDS_OF_THE_SELECTOR * array("HEALTH", "8").length();
-            assertThat(eventLoop.waitingBytes())
-                    .isLessThanOrEqualTo(
-                            ReadFlowControl.MAX_WAITING_BYTES + MAX_READ_BYTES + otherBytes);
-        } finally {
-            go.countDown();
+        until(() -> eventLoop.waitingBytes() >= ReadFlowControl.MAX_WAITING_BYTES);
+        // Each hand-over of the other client shows that the selector has looked at both.
+        for (int i = 0; i < ROUNDS_OF_THE_SELECTOR; i++) {
+            int waiting = eventLoop.waiting();
+            other.say(array("HEALTH", "8"));
+            until(() -> eventLoop.waiting() > waiting);
         }
+        int otherBytes = ROUNDS_OF_THE_SELECTOR * array("HEALTH", "8").length();
+        assertThat(eventLoop.waitingBytes())
+                .isLessThanOrEqualTo(
+                        ReadFlowControl.MAX_WAITING_BYTES + MAX_READ_BYTES + otherBytes);
+        go.countDown();
         // All of it is read in the end, and what comes behind it.
         writer.join();
         fast.say(array("HEALTH", "9"));
--- a/src/test/java/lupinwood/net/SocketTest.java
+++ b/src/test/java/lupinwood/net/SocketTest.java
@@ -20,6 +20,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import lupinwood.admission.AdmissionController;
 import lupinwood.log.Log;
@@ -158,6 +160,10 @@
     final ByteArrayOutputStream logged = new ByteArrayOutputStream();
     final Log log = new Log(new PrintStream(logged, true), Instant::now);
     final List<Socket> opened = new ArrayList<>();
+
+    /** What keeps threads of the node; the end of the test lets them go. */
+    final List<CountDownLatch> blocked = new ArrayList<>();
+
     Place executorPlace;
     Place dependencyPlace;
     Place registryPlace;
@@ -205,6 +211,7 @@
 
     @AfterEach
     void stop() throws Exception {
+        blocked.forEach(CountDownLatch::countDown);
         for (Socket socket : opened) {
             socket.close();
         }
@@ -246,6 +253,36 @@
         return leaving;
     }
 
+    /**
+     * Keeps the event loop thread until the latch that is returned is down; it is kept once this
+     * returns. The end of the test lets it go in any case.
+     */
+    CountDownLatch block() throws InterruptedException {
+        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch here = new CountDownLatch(1);
+        blocked.add(go);
+        serving.eventLoop()
+                .tell(
+                        () -> {
+                            here.countDown();
+                            try {
+                                go.await();
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        });
+        await(here);
+        return go;
+    }
+
+    static void await(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(RESPONSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     NodeConfig config() throws Exception {
         return read(text());
     }
